Let leased units pass the ceiling's even split once the counter is shared

Cause: settle() in src/rules.rs sent nothing on for a plan with a ceiling unless this gateway's even split of the ceiling (fill(), rate and burst over the doors, from nought at every start) held the units, leased or not.

Remedy: a window's budget under a ceiling is at most half the ceiling's burst and lasts that over the ceiling's rate, so any two windows in a row stay under the ceiling wherever they are spent. Units leased from such a window need no share. That rests on the counter, so it holds only while totals were seen that hold what others added, and not for two windows after a total fell short. Credit, and all else while that is unproven, stays on the even split.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,8 @@
 
 /// Time between two sweeps while anything is held, in microseconds: fine beside aims of some 100 ms.
 const SWEEP: Micros = 10_000;
+/// Difference of two totals, in units, that proves nothing: totals are exact to seven digits.
+const ROUNDING: f64 = 0.01;
 /// Gap between sweeps, in microseconds, that is a standstill of its own: far above a tick.
 const STALL: Micros = 200_000;
 /// Shortest window, in microseconds: below this, calls to the counter would outnumber requests.
@@ -33,6 +35,11 @@
 const PACE_MOST: f64 = 2_000.0;
 /// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
 const PACE_SPAN: f64 = 0.25;
+/// Time for which the counter counts as shared once a total held what others added, in microseconds:
+/// long beside windows, and the time after which a count is forgotten at the latest.
+const SHARED_FOR: Micros = 60_000_000;
+/// Share of the ceiling's burst that a window's budget may take: two windows can be spent back to back.
+const CEILING_WINDOW: f64 = 0.5;
 /// Share of its aim that a request waits for the counter or the ceiling before it is refused.
 const PATIENCE: f64 = 0.4;
 /// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
@@ -231,6 +238,7 @@
         let gateways = f64::from(self.set.gateways.max(1));
         let silent = here && !customer.calling && (customer.lost || self.counter.scarce(self.now, gateways));
         let limited = plan.rate > 0.0;
+        let shared = self.counter.shared(self.now, customer.length);
         let (mut kept, mut refused) = (VecDeque::new(), Vec::new());
         while let Some(item) = customer.waiting.pop_front() {
             let (units, remote) = (item.units, item.peer.is_some());
@@ -238,9 +246,11 @@
             let granted = !remote && customer.granted >= units;
             let open = (plan.open / customer.doors).floor().max(1.0);
             let over_open = !remote && plan.open > 0.0 && customer.open >= open;
-            let under_ceiling = plan.ceiling_rate <= 0.0 || granted || customer.ceiling.level >= units;
             let drained = limited && here && customer.store.level < units;
             let escrowed = held >= units;
+            let leased = shared && escrowed;
+            let level = customer.ceiling.level;
+            let under_ceiling = plan.ceiling_rate <= 0.0 || granted || leased || level >= units;
             let credited = silent && customer.split.level >= units;
             let gone =
                 here && !escrowed && customer.spent == Some(window) || self.now < customer.denied_until;
@@ -261,7 +271,8 @@
                 }
                 customer.used += units;
                 if !granted {
-                    customer.ceiling.level -= units;
+                    let least = if leased { level.min(0.0) } else { f64::MIN };
+                    customer.ceiling.level = (level - units).max(least);
                 }
                 customer.store.level -= units;
                 customer.split.level = (customer.split.level - units).max(0.0);
@@ -416,9 +427,15 @@
             return out.push(Action::Count { name, amount: 0.0, ttl: WINDOW_MOST });
         }
         customer.calling = false;
-        customer.lost = !ok;
+        // What a lost call may have added after all is no word of others.
+        let unsure = std::mem::replace(&mut customer.lost, !ok) || call.asked;
         if ok && call.window == customer.window {
             let before = total - call.amount;
+            if before < customer.total - ROUNDING {
+                (self.counter.shared_at, self.counter.forgot_at) = (None, Some(self.now));
+            } else if !unsure && before > customer.total + ROUNDING {
+                self.counter.shared_at = Some(self.now);
+            }
             customer.store.level -= (before - customer.total).max(0.0);
             customer.total = total;
             customer.spent = (total >= customer.budget).then_some(call.window);
@@ -591,12 +608,18 @@
         let known = self.customers.entry(key).or_insert_with(|| {
             // A window holds what the quota allows at most within it. Windows of different customers end at
             // different times, so that the counter sees no rush.
-            let length = (p.burst.max(max_units) / p.rate.max(SECOND) / SECOND) as u64;
+            let capped = (p.ceiling_burst * CEILING_WINDOW).max(max_units);
+            let length = if p.ceiling_rate > 0.0 {
+                (capped / p.ceiling_rate / SECOND).ceil() as u64
+            } else {
+                (p.burst.max(max_units) / p.rate.max(SECOND) / SECOND) as u64
+            };
             let length = length.clamp(WINDOW_LEAST, WINDOW_MOST);
             forget.insert((now + REMEMBER, key));
+            let budget = p.rate * length as f64 * SECOND + p.burst;
             Customer {
                 phase: key % length,
-                budget: p.rate * length as f64 * SECOND + p.burst,
+                budget: if p.ceiling_rate > 0.0 { budget.min(capped) } else { budget },
                 plan,
                 length,
                 store: Bucket { level: f64::MAX, at: now },
@@ -872,7 +895,9 @@
 
     /// The ceiling is split evenly over the customer's gateways: shares that sum to it need no agreement and
     /// hold through flushes, restarts and rerouted traffic. A new gateway starts with what it earned since
-    /// its start, as it cannot know what it spent. Hurts a customer whose requests all come to one gateway.
+    /// its start, as it cannot know what it spent. Hurts a customer whose requests come to few of its
+    /// gateways, so leased units need no share: two windows' budgets are within the ceiling wherever they are
+    /// spent, for as long as the counter is seen to add up what all lease.
     fn fill(&mut self, plan: &Plan, now: Micros) {
         // A home spends for all doors: its split of the store is the whole.
         let split = if self.pooled && self.home.is_none() { 1.0 } else { 1.0 / self.doors };
@@ -883,6 +908,12 @@
 }
 
 impl Counter {
+    /// Whether totals hold what all gateways lease: seen lately, and nothing was forgotten within two windows.
+    fn shared(&self, now: Micros, window: Micros) -> bool {
+        let sound = self.forgot_at.is_none_or(|at| now > at + 2 * window);
+        sound && self.shared_at.is_some_and(|at| now < at + SHARED_FOR)
+    }
+
     /// Whether a call may be made now.
     fn ready(&mut self, now: Micros) -> bool {
         self.calls.fill(self.pace, (self.pace * PACE_SPAN).max(2.0), now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,6 +121,9 @@
     pub failing: bool,
     /// When the pace was last cut for a loss.
     pub cut_at: Micros,
+    /// When a total last held what others had added, and when one last fell short of what had been there.
+    pub shared_at: Option<Micros>,
+    pub forgot_at: Option<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
