--- a/src/rules.rs
+++ b/src/rules.rs
@@ -908,7 +908,7 @@
 }
 
 impl Counter {
-    /// Whether totals hold what all gateways lease: seen lately, and nothing was forgotten within two windows.
+    /// Whether totals hold what all gateways lease: seen lately, and nothing forgotten within two windows.
     fn shared(&self, now: Micros, window: Micros) -> bool {
         let sound = self.forgot_at.is_none_or(|at| now > at + 2 * window);
         sound && self.shared_at.is_some_and(|at| now < at + SHARED_FOR)
