Choose servers by what they report, and let cold ones have their share

The list has one order everywhere, so the one behind a row of absent servers got the whole row's part from every limiter. - With the bound on all that is out (`room`, 3 here) requests were refused at limiters with few out while most servers idled.

Remedy: reports are read and kept per server (src/reports.rs); one that tells of a backlog, weighed by its use for each request, gets nothing until it must have worked it off. A cold server whose token is there goes first; its budget is also bounded by what servers are seen to do. Ties fall by chance. Where reports come, the guess of a bound on all that is out is not used.

What was heard is too old to rank by; a limiter's own latencies, which make it keep to servers that serve it well, rank better.

One script answered an attempt that had ended.

--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -3,7 +3,7 @@
 
 use crate::config::{Config, Places};
 use crate::discovery::List;
-use crate::servers::{self, Forward, Pools, Served};
+use crate::servers::{self, End, Forward, Pools, Served};
 use crate::{counter, peers};
 use pondgw::*;
 use std::cell::{Cell, RefCell};
@@ -327,7 +327,8 @@
     }
 
     /// An attempt has ended; its connection is closed or back in its pool.
-    pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, status: Status, served: Option<Served>) {
+    pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, end: End) {
+        let End { status, served, load } = end;
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let Some(open) = state.open.get_mut(&id) else { return };
@@ -344,7 +345,6 @@
         }
         let closed = state.open.get(&id).is_none_or(|o| o.reply.is_none());
         state.tidy(id);
-        let load = Load::default();
         let outcome = Outcome { id, attempt: number, server, status, latency, closed, load };
         state.events.push_back(Event::Outcome(outcome));
         self.run(state);
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -4,7 +4,7 @@
 use crate::discovery::{Health, List};
 use crate::http::{self, Body};
 use bytes::BytesMut;
-use pondgw::{Entry, Lifecycle, ListKind, Micros, RequestId, ServerId, Setup, Status};
+use pondgw::{Entry, Lifecycle, ListKind, Load, Micros, RequestId, ServerId, Setup, Status};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
@@ -406,17 +406,46 @@
 pub fn start(core: Rc<Core>, start: Start, stopped: oneshot::Receiver<Status>) {
     core.pools.count_out(start.server, true);
     tokio::task::spawn_local(async move {
-        let (status, served) = tokio::select! {
+        let end = tokio::select! {
             biased;
-            ended = attempt(&core, &start) => ended,
-            status = stopped => (status.unwrap_or(Status::Cancelled), None),
+            end = attempt(&core, &start) => end,
+            status = stopped => status.unwrap_or(Status::Cancelled).into(),
         };
-        core.ended(start.id, start.number, status, served);
+        core.ended(start.id, start.number, end);
         core.pools.count_out(start.server, false);
     });
 }
 
-async fn attempt(core: &Core, start: &Start) -> (Status, Option<Served>) {
+/// How an attempt ended.
+pub struct End {
+    /// Its outcome.
+    pub status: Status,
+    /// The answer that goes to the client.
+    pub served: Option<Served>,
+    /// What the server said of its load.
+    pub load: Load,
+}
+
+impl From<Status> for End {
+    fn from(status: Status) -> Self {
+        End { status, served: None, load: Load::default() }
+    }
+}
+
+/// Reads a load report. Pairs that cannot be read are passed over: the answer itself is good.
+fn load(text: &[u8]) -> Load {
+    let mut load = Load::default();
+    for pair in std::str::from_utf8(text).unwrap_or_default().split(',') {
+        if let Some((name, value)) = pair.split_once('=') {
+            if let Ok(value) = value.trim().parse() {
+                load.set(name.trim(), value);
+            }
+        }
+    }
+    load
+}
+
+async fn attempt(core: &Core, start: &Start) -> End {
     let pools = &core.pools;
     let mut conn = match pools.take(start.server) {
         Some(Ok(conn)) => conn,
@@ -424,38 +453,38 @@
             Ok(Ok(conn)) => conn,
             Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
                 core.seldom.warn(format_args!("no connection to server {}: {e}", start.server));
-                return (Status::Moot, None);
+                return Status::Moot.into();
             }
             Ok(Err(e)) => {
                 log::debug!("server {} at {address} takes no connection: {e}", start.server);
-                return (Status::ConnectFailed, None);
+                return Status::ConnectFailed.into();
             }
             Err(_) => {
                 log::debug!("server {} at {address} takes no connection in time", start.server);
-                return (Status::ConnectFailed, None);
+                return Status::ConnectFailed.into();
             }
         },
         // No address, or all connections that this process may hold are busy.
-        None => return (Status::Moot, None),
+        None => return Status::Moot.into(),
     };
     let message = message(&start.forward, start.left);
     let written = Cell::new(false);
     if let Err(e) = conn.write(&message, &written).await {
         log::debug!("server {} broke off before the request was written: {e}", start.server);
         // Broke before the last byte was handed over: it cannot have run.
-        return (Status::ConnectFailed, None);
+        return Status::ConnectFailed.into();
     }
     let Reply { head, bytes, body, keep } = match conn.read().await {
         Ok(reply) => reply,
         Err(Broken::Ended(e)) => {
             log::debug!("server {} broke off: {e}", start.server);
             pools.forget(start.server);
-            return (Status::Reset, None);
+            return Status::Reset.into();
         }
         // The server is well and has run the request: this connection goes, the others stay.
         Err(e) => {
             log::debug!("server {}: {e}", start.server);
-            return (Status::Error, None);
+            return Status::Error.into();
         }
     };
     let declined = head.header(&bytes, "srv-declined") == Some(b"1");
@@ -472,7 +501,8 @@
         head.copy_headers(&bytes, &PASSED_BACK, &mut headers);
         Served { headers, body }
     });
-    (status, served)
+    let load = head.header(&bytes, "srv-load").map(load).unwrap_or_default();
+    End { status, served, load }
 }
 
 /// Headers of an answer that go to the client: they tell how to read the body, or concern caches.
@@ -504,3 +534,21 @@
     message.extend_from_slice(&forward.body);
     message
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_as_far_as_it_can_be() {
+        let read = load(b"served_ps=7.2, busy_reqs=2,cpu_share=0.74,new=1");
+        let whole = Load { inflight: Some(2.0), util: Some(0.74), qps: Some(7.2), latency_ms: None };
+        assert_eq!(read, whole);
+        for spoilt in
+            [&b"busy_reqs"[..], b"busy_reqs=", b"busy_reqs=-1", b"busy_reqs=NaN", b"\xff=1", b",,=,=="]
+        {
+            assert_eq!(load(spoilt), Load::default());
+        }
+        assert_eq!(load(b"x,busy_reqs=3").inflight, Some(3.0));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -200,6 +200,23 @@
     pub util: Option<f64>,
     /// Its recent service time in milliseconds.
     pub latency_ms: Option<f64>,
+    /// Requests that it serves in a second.
+    pub qps: Option<f64>,
+}
+
+impl Load {
+    /// Takes one value by its name on the wire. Names that are not known are passed over, and so is what no
+    /// server can mean.
+    pub fn set(&mut self, name: &str, value: f64) {
+        let value = (value.is_finite() && value >= 0.0).then_some(value);
+        match name {
+            "busy_reqs" => self.inflight = value,
+            "cpu_share" => self.util = value,
+            "svc_ms" => self.latency_ms = value,
+            "served_ps" => self.qps = value,
+            _ => {}
+        }
+    }
 }
 
 /// A client's request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 #![forbid(unsafe_code)]
 
 pub mod interface;
+mod reports;
 pub mod rules;
 pub mod setup;
 mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //! Order: constants, state, escrow, ceiling, servers, cold start, attempts, final answer.
 
 use crate::interface::*;
+use crate::reports::Fleet;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -74,6 +75,10 @@
 const EJECT: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Failures in a row that make a server suspect.
 const FAILURES: u32 = 3;
+/// Factor on the cost of a cold server that may be sent to.
+const COLD_FIRST: f64 = 0.25;
+/// Requests that a server may report to hold, by the speed of its fellows, before it gets no more.
+const TOLD_MOST: f64 = 6.0;
 /// Share of the fall budget that is used: the rest covers uneven gateways and chance.
 const COLD_SHARE: f64 = 0.5;
 /// Further attempts for each first attempt, and the most saved up.
@@ -108,6 +113,7 @@
     ready: BTreeSet<(u64, u64, RequestId)>,
     alarms: BTreeSet<(Micros, RequestId)>,
     latency: Vec<f64>,
+    fleet: Fleet,
     /// Bound on all that is out, mean latency over the aim, and the last cut of the bound.
     room: f64,
     busy: f64,
@@ -146,6 +152,7 @@
             ready: BTreeSet::new(),
             alarms: BTreeSet::new(),
             latency,
+            fleet: Fleet::default(),
             room: f64::INFINITY,
             busy: BUSY,
             cut_at: 0,
@@ -494,6 +501,7 @@
             if recent && (!known || restarted) || back || (!known && !first) {
                 // Guards any fresh process, however discovery words it.
                 server.chill(now, chance);
+                server.reports.clear();
                 if restarted {
                     server.outs.clear();
                     server.health = Health::Up;
@@ -552,47 +560,59 @@
 
     /// The server with the least outstanding work for its learned speed, among those that may take this.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
-        let draw = self.draw();
-        // A cold server takes part in as many choices as it is warm: by cost it would get nothing.
-        let luck = (draw >> 16) as f64 % 1_000.0 / 1_000.0;
+        let mut random = self.draw();
         let request = self.requests.get(&id)?;
         let class = &self.set.classes[request.class];
         let first = request.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let group = first.and_then(|a| self.servers[a.server].as_ref()).map(|s| (s.zone, s.cell));
         let now = self.now;
         let usable = self.servers.iter().flatten().filter(|s| s.ready).count();
-        let share = self.rate / usable.max(1) as f64;
+        let mut share = self.rate / usable.max(1) as f64;
+        if self.fleet.known() {
+            // What is asked may be more than servers can do.
+            share = share.min(1.0 / self.fleet.work() / f64::from(self.set.gateways.max(1)));
+        }
         // Bounds below one request a server hold too: many gateways share a small fleet.
         let (limits, outs) = self.load();
-        let full = outs >= f64::max(limits.min(self.room), 1.0);
+        let told = self.fleet.known();
+        let full = !told && outs >= f64::max(limits.min(self.room), 1.0);
         let trial = class.effect != Effect::Unsafe && request.attempts.is_empty();
         let same = |server: &Server| match (class.effect, class.scope, group) {
             (Effect::Keyed, Scope::Zone, Some((zone, _))) => zone == server.zone,
             (Effect::Keyed, Scope::Cell, Some((_, cell))) => cell == server.cell,
             _ => true,
         };
-        let mut best: Option<(f64, ServerId)> = None;
-        let offset = draw as usize % self.servers.len().max(1);
-        for n in 0..self.servers.len() {
-            let at = (n + offset) % self.servers.len();
+        let mut able: Vec<(f64, ServerId)> = Vec::with_capacity(usable);
+        for at in 0..self.servers.len() {
             let Some(server) = self.servers[at].as_mut() else { continue };
             let tried = request.attempts.iter().any(|a| a.server == at);
             if !server.ready || tried || !same(server) {
                 continue;
             }
-            let warmth = server.warmth(&self.set.rules, now, share);
+            server.warm(&self.set.rules, now, share);
+            let mine = server.outs.len() as f64;
+            let jammed = server.reports.backlog(&self.fleet, now) > TOLD_MOST;
             let cost = match server.health {
                 // One safe or keyed request at a time tries a suspect out.
                 Health::Suspect(until) if trial && now >= until => -1.0,
                 Health::Suspect(_) | Health::Trial => continue,
-                Health::Up if full || server.outs.len() as f64 >= server.limit.ceil() => continue,
-                Health::Up => (server.outs.len() as f64 + 1.0) * server.slow / server.weight,
+                Health::Up if full || jammed || mine >= server.limit.ceil() => continue,
+                Health::Up => (mine + 1.0) * server.slow / server.weight,
             };
-            if server.cold_since.is_some() && (server.tokens.level < 1.0 || luck > warmth) {
-                continue;
+            // A cold server that has a token has earned its share: by cost alone it would get nothing.
+            match (server.cold_since, server.tokens.level >= 1.0) {
+                (Some(_), false) => continue,
+                (Some(_), true) => able.push((cost * COLD_FIRST, at)),
+                (None, _) => able.push((cost, at)),
             }
-            if best.is_none_or(|b| cost < b.0) {
-                best = Some((cost, at));
+        }
+        let mut best: Option<(f64, ServerId)> = None;
+        for n in 0..able.len() {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let pick = n + (random >> 33) as usize % (able.len() - n);
+            able.swap(n, pick);
+            if best.is_none_or(|b| able[n].0 < b.0) {
+                best = Some(able[n]);
             }
         }
         best.map(|b| b.1)
@@ -695,12 +715,13 @@
     }
 
     fn on_outcome(&mut self, outcome: &Outcome, out: &mut Vec<Action>) {
-        let Outcome { id, attempt: number, server: at, status, latency, closed, .. } = *outcome;
+        let Outcome { id, attempt: number, server: at, status, latency, closed, load } = *outcome;
         let class = self.requests.get(&id).map(|r| r.class);
         let (now, outs) = (self.now, self.load().1);
         let (usable, chance) = (self.servers.len() as f64, self.draw());
         if let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) {
             let was_out = server.outs.remove(&(id, number)).is_some();
+            self.fleet.take(&mut server.reports, &load, now);
             if matches!(status, Status::Ok | Status::Error | Status::Full) {
                 server.answered = now;
                 server.eject = EJECT.0;
@@ -968,18 +989,17 @@
         self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
     }
 
-    /// Share of full capacity to be expected, 1 when warm; fills this gateway's share of the fall budget.
-    fn warmth(&mut self, rules: &Rules, now: Micros, rate: f64) -> f64 {
-        let Some(since) = self.cold_since else { return 1.0 };
+    /// Fills this gateway's share of a cold server's fall budget, until it is warm.
+    fn warm(&mut self, rules: &Rules, now: Micros, rate: f64) {
+        let Some(since) = self.cold_since else { return };
         if now >= since + rules.cold {
             self.cold_since = None;
-            return 1.0;
+            return;
         }
         let share = (now - since) as f64 / rules.cold.max(1) as f64;
         let warm = rules.cold_from + (1.0 - rules.cold_from) * share;
         let budget = COLD_SHARE * rules.fall_multiple * warm * rate;
         let most = (budget * rules.fall as f64 * SECOND / 2.0).max(1.0);
         self.tokens.fill(budget, most, now);
-        warm.max(0.05)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Plain types that the module keeps its state in, and what gateways tell each other. Nothing here decides.
 
 use crate::interface::*;
+use crate::reports::Reports;
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hasher;
@@ -192,6 +193,7 @@
     pub slow: f64,
     pub cold_since: Option<Micros>,
     pub tokens: Bucket,
+    pub reports: Reports,
 }
 
 /// What one gateway tells another.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -368,7 +368,10 @@
         }
         for id in asked {
             let (number, at) = (host.sent(id).len() as u32 - 1, host.sent(id).pop().expect("an attempt"));
-            host.done(id, number, at, Status::Ok);
+            // A refused attempt that found no other server has ended already.
+            if at != silent {
+                host.done(id, number, at, Status::Ok);
+            }
         }
         let trial = (10..600).find(|&id| {
             host.ask(id, 0, 3, 4 * S);
