Ask an overbooked discovery seldom, at random, and for changes only

Ruled out: lost or late lists where discovery pushes (none failed there), and answers that were slow rather than refused (13 of 3,975 timed out).

Remedy: the wait before each call grows with the number of gateways, falls by chance between a half and one and a half of it, doubles with each failure up to 8 s, and has a timer of its own; a list that comes sets it back. The first call asks from the version of the list that the limiter was started with.

--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -14,6 +14,8 @@
 /// How long a watch waits for changes, in milliseconds: what is told to a silent watch counts as told 2 s
 /// after its end, so a broken one should not go unnoticed for long.
 const HOLD_MS: u64 = 10_000;
+/// The same for the first one.
+const FIRST_HOLD_MS: u64 = 1;
 /// Time beyond that after which discovery is held to be silent.
 const GRACE: Duration = Duration::from_millis(1_500);
 /// Time for a call that has nothing to wait for.
@@ -113,14 +115,19 @@
 /// that has moved.
 async fn follow(core: &Rc<Core>, mut moved: bool) {
     let ask = core.config.setup.settings.ask;
-    let (mut conn, mut seq, mut backoff) = (None, None, BACKOFF.0);
+    // What was known at the start is what the module holds: changes since then are enough, and cost discovery
+    // less than the whole list. They are asked for without a wait, as the limiter is not ready before.
+    let known = core.config.known.as_ref().filter(|list| !moved && list.whole && list.spoilt == 0);
+    let (mut conn, mut seq, mut backoff) = (None, known.map(|list| list.seq), BACKOFF.0);
+    let mut hold = FIRST_HOLD_MS;
     loop {
         if ask && conn.is_none() && !moved {
             core.watch.notified().await;
         }
         moved = false;
-        match call(core, &mut conn, seq).await {
+        match call(core, &mut conn, seq, hold).await {
             Ok(list) => {
+                hold = HOLD_MS;
                 // Changes refer to the list held; the whole list stands for itself, unless some of it cannot be
                 // read: whoever is not named then may well be there.
                 if list.whole && list.spoilt == 0 {
@@ -153,10 +160,10 @@
     }
 }
 
-async fn call(core: &Core, conn: &mut Option<Conn>, seq: Option<u64>) -> io::Result<List> {
+async fn call(core: &Core, conn: &mut Option<Conn>, seq: Option<u64>, hold_ms: u64) -> io::Result<List> {
     let (target, most) = match seq {
         Some(seq) => {
-            (format!("/catalog/members?from={seq}&hold_ms={HOLD_MS}"), Duration::from_millis(HOLD_MS) + GRACE)
+            (format!("/catalog/members?from={seq}&hold_ms={hold_ms}"), Duration::from_millis(hold_ms) + GRACE)
         }
         None => ("/catalog/members".to_owned(), CALL_MOST),
     };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,6 +79,11 @@
 const COLD_FIRST: f64 = 0.25;
 /// Requests that a server may report to hold, by the speed of its fellows, before it gets no more.
 const TOLD_MOST: f64 = 6.0;
+/// Wait before discovery is asked again after a failed call, in microseconds: at first, and at most after
+/// doubling. The longest leaves hundreds of gateways a few calls a second, and is short beside a release.
+const WATCH_WAIT: (Micros, Micros) = (500_000, 8_000_000);
+/// Wait before it is asked, in microseconds for each gateway: all may start, or be turned away, at once.
+const WATCH_SPREAD: Micros = 20_000;
 /// Share of the fall budget that is used: the rest covers uneven gateways and chance.
 const COLD_SHARE: f64 = 0.5;
 /// Further attempts for each first attempt, and the most saved up.
@@ -99,6 +104,7 @@
     random: u64,
     sweep_at: Micros,
     watch_at: Micros,
+    watch_wait: Micros,
     servers: Vec<Option<Server>>,
     customers: BTreeMap<u64, Customer>,
     /// Customers for which something waits, and when idle ones are forgotten.
@@ -140,6 +146,7 @@
             random: seed | 1,
             sweep_at: 0,
             watch_at: Micros::MAX,
+            watch_wait: WATCH_WAIT.0,
             servers: Vec::new(),
             customers: BTreeMap::new(),
             holding: BTreeSet::new(),
@@ -457,12 +464,15 @@
 
     fn on_servers(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.watch_at = self.now + EJECT.0 / 2;
+            self.watch_in(self.watch_wait + WATCH_SPREAD * u64::from(self.set.gateways), out);
+            self.watch_wait = (self.watch_wait * 2).min(WATCH_WAIT.1);
             return;
         }
         let first = self.servers.is_empty();
         if self.set.ask && first {
-            out.push(Action::Watch);
+            self.watch_in(WATCH_SPREAD * u64::from(self.set.gateways), out);
+        } else {
+            self.watch_wait = WATCH_WAIT.0;
         }
         if kind != ListKind::Delta {
             for (id, server) in self.servers.iter_mut().enumerate() {
@@ -513,6 +523,13 @@
         }
     }
 
+    /// Asks for a watch after a half to one and a half times this wait: calls that fail all at once must not
+    /// come back all at once, as one small discovery serves all gateways.
+    fn watch_in(&mut self, wait: Micros, out: &mut Vec<Action>) {
+        self.watch_at = self.now + wait / 2 + self.draw() % wait.max(1);
+        out.push(Action::Timer { at: self.watch_at, token: 0 });
+    }
+
     /// Forgets a server that is gone once nothing is out there: ids may be ever new.
     fn tidy(&mut self, server: ServerId) {
         if let Some(slot) = self.servers.get_mut(server) {
