Wait for a call to discovery until its answer counts as told

Remedy: where discovery must be asked an answer is waited for 6 s beyond its wait, after which it counts as told in any case. Where it pushes, silence is found out as soon as before.

--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -18,6 +18,9 @@
 const FIRST_HOLD_MS: u64 = 1;
 /// Time beyond that after which discovery is held to be silent.
 const GRACE: Duration = Duration::from_millis(1_500);
+/// The same where discovery must be asked: calls of all limiters wait in one line there, and what it has sent
+/// by then counts as told, so that to give up sooner is to go on with an old list.
+const GRACE_ASKED: Duration = Duration::from_secs(6);
 /// Time for a call that has nothing to wait for.
 const CALL_MOST: Duration = Duration::from_millis(1_500);
 /// Wait after a failed call: at first, and at most after doubling.
@@ -160,13 +163,21 @@
     }
 }
 
+/// How long an answer is waited for, of a watch with its wait or of a call without one.
+fn patience(ask: bool, hold_ms: Option<u64>) -> Duration {
+    match (ask, hold_ms) {
+        (true, hold_ms) => Duration::from_millis(hold_ms.unwrap_or_default()) + GRACE_ASKED,
+        (false, Some(hold_ms)) => Duration::from_millis(hold_ms) + GRACE,
+        (false, None) => CALL_MOST,
+    }
+}
+
 async fn call(core: &Core, conn: &mut Option<Conn>, seq: Option<u64>, hold_ms: u64) -> io::Result<List> {
-    let (target, most) = match seq {
-        Some(seq) => {
-            (format!("/catalog/members?from={seq}&hold_ms={hold_ms}"), Duration::from_millis(hold_ms) + GRACE)
-        }
-        None => ("/catalog/members".to_owned(), CALL_MOST),
+    let target = match seq {
+        Some(seq) => format!("/catalog/members?from={seq}&hold_ms={hold_ms}"),
+        None => "/catalog/members".to_owned(),
     };
+    let most = patience(core.config.setup.settings.ask, seq.map(|_| hold_ms));
     let message = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
     let exchange = async {
         let mut open = match conn.take().filter(Conn::quiet) {
@@ -184,3 +195,18 @@
     };
     timeout(most, exchange).await?
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a list that the agent has, which counts as told, while the limiter has given up the call.
+    #[test]
+    fn an_answer_that_waits_in_line_is_waited_for_until_it_counts_as_told() {
+        let told = Duration::from_secs(6);
+        assert!(patience(true, None) >= told);
+        assert!(patience(true, Some(FIRST_HOLD_MS)) >= told);
+        assert!(patience(true, Some(HOLD_MS)) >= Duration::from_millis(HOLD_MS) + told);
+        assert!(patience(false, None) <= CALL_MOST, "where it pushes, silence is found out soon");
+    }
+}
