Count a server as cold since its start, not since its list came

Cause: on_servers() in src/rules.rs set cold_since to the time at which a list came.

Remedy: the start that discovery tells counts where there is one. A server that comes back without a new start is cold from then on, as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -509,8 +509,10 @@
             server.started = entry.started;
             let recent = entry.started > 0 && now < entry.started + self.set.rules.cold;
             if recent && (!known || restarted) || back || (!known && !first) {
-                // Guards any fresh process, however discovery words it.
-                server.chill(now, chance);
+                // Guards any fresh process, however discovery words it. Since its start where that is told:
+                // the list may come late, and it warms meanwhile.
+                let fresh = entry.started > 0 && (!back || restarted);
+                server.chill(if fresh { entry.started.min(now) } else { now }, now, chance);
                 server.reports.clear();
                 if restarted {
                     server.outs.clear();
@@ -744,7 +746,7 @@
                 server.eject = EJECT.0;
                 // Cold again only after signs of a restart: one connection that fell silent is none.
                 if server.health == Health::Trial && server.broke {
-                    server.chill(now, chance);
+                    server.chill(now, now, chance);
                 }
                 server.broke = false;
                 server.health = Health::Up;
@@ -999,10 +1001,10 @@
         self.cut_at = now;
     }
 
-    /// Counts as cold from now on. A part of a first token by chance: hundreds of gateways that all start at
+    /// Counts as cold since a time. A part of a first token by chance: hundreds of gateways that all start at
     /// nought would all send at one moment, or none before it is warm.
-    fn chill(&mut self, now: Micros, chance: u64) {
-        self.cold_since = Some(now);
+    fn chill(&mut self, since: Micros, now: Micros, chance: u64) {
+        self.cold_since = Some(since);
         self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
     }
 
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -100,3 +100,19 @@
 fn rules() -> Rules {
     Rules { cold: 17 * S, cold_from: 0.28, fall: 2 * S, fall_multiple: 3.0, ask_within: 0 }
 }
+
+#[test]
+fn a_server_that_started_long_before_its_list_came_is_warm() {
+    let news = |age: Micros| {
+        let mut host = Host::new(Settings { rules: rules(), gateways: 1, ..settings() }, 10);
+        let start = host.now;
+        let entries = (10..20).map(|n| Entry { started: start - age, ..entry(n) }).collect();
+        host.list(ListKind::Full, entries);
+        for id in 0..5 {
+            host.ask(id, 0, 3, 4 * S);
+        }
+        host.sends.len()
+    };
+    assert_eq!(news(18 * S), 5, "all are warm by now");
+    assert!(news(S) < 5, "they are cold");
+}
