Let calls to the counter grow with their use instead of a fixed fleet sum

A probe logged each first send and each call to the counter: 35% of the units went on credit, without a lease, and none of 38040 calls was lost. Counting them against true stores, 11% of all units were beyond quotas.

Ruled out: a counter that is down or slow (every call was answered), lost leases, the ceiling.

Cause: answered() in src/rules.rs held the pace of all gateways together to PACE_MOST = 2000 a second, 6.7 at each of 300, where each is asked nine times a second; and a gateway that starts, at 1.7, took seconds to get that far. A request without a call goes on credit, which the others see late or never.

Remedy: no fixed sum. The pace grows only while what is saved up is used, which is what the bound stood for, and doubles until the first loss. Losses cut it as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,9 @@
 /// Growth with each quick answer: calls a second, and share of the way back to the pace before a loss. As
 /// answers come at the pace itself, the first is its growth in a second.
 const PACE_GROW: (f64, f64) = (0.4, 0.25);
-/// Calls to the counter a second from all gateways together, at most: growth unused proves little.
-const PACE_MOST: f64 = 2_000.0;
+/// The first of these before any call was lost: a gateway that starts anew is asked for several times its first
+/// share, and what it cannot lease it lets through on credit, which others do not see.
+const PACE_START: f64 = 1.0;
 /// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
 const PACE_SPAN: f64 = 0.25;
 /// Time for which the counter counts as shared once a total held what others added, in microseconds:
@@ -956,10 +957,15 @@
 
     /// Whether a call may be made now.
     fn ready(&mut self, now: Micros) -> bool {
-        self.calls.fill(self.pace, (self.pace * PACE_SPAN).max(2.0), now);
+        self.calls.fill(self.pace, self.most(), now);
         self.calls.level >= 1.0
     }
 
+    /// Calls that may be saved up.
+    fn most(&self) -> f64 {
+        (self.pace * PACE_SPAN).max(2.0)
+    }
+
     /// Whether calls must be kept for those who need them most; also where none may be made now.
     fn scarce(&mut self, now: Micros, gateways: f64) -> bool {
         let few = self.pace < SCARCE.0 * PACE_FIRST / gateways;
@@ -980,10 +986,13 @@
             self.pace *= PACE_CUT.1;
         } else {
             let back = (self.knee - self.pace).max(0.0) * PACE_GROW.1;
-            self.pace += back.max(PACE_GROW.0);
+            // Growth unused proves nothing: only who has used up half of what is saved up may ask for more.
+            if self.calls.level < self.most() / 2.0 {
+                self.pace += back.max(if self.cut_at == 0 { PACE_START } else { PACE_GROW.0 });
+            }
         }
         self.failing = !ok;
-        self.pace = self.pace.clamp(PACE_LEAST / gateways, PACE_MOST / gateways);
+        self.pace = self.pace.max(PACE_LEAST / gateways);
     }
 }
 
