Bound all that is out by its latency where servers report their load, too

A zone of 71 of 162 servers is lost at 5 s. A probe logged each refusal with what the gateway held of each server: within seconds 2.0 attempts a request and 17857 answers 'full' in 5 s; then, at 14 to 20 s, 87 of the 91 servers that were left counted as jammed at each gateway while only a third of the usual work was sent.

Cause: choose() in src/rules.rs left the bound on all that is out unused where reports come. But a report of one server is some 16 s old when that server is chosen again, while the answers of all servers together, six to ten a second, tell at once that too much is out. The bounds of single servers stay unused.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,8 @@
 /// Growth with each quick answer: calls a second, and share of the way back to the pace before a loss. As
 /// answers come at the pace itself, the first is its growth in a second.
 const PACE_GROW: (f64, f64) = (0.4, 0.25);
-/// The first of these before any call was lost: a gateway that starts anew is asked for several times its first
-/// share, and what it cannot lease it lets through on credit, which others do not see.
+/// The first of these before any call was lost: who starts anew is asked for several times its first share,
+/// and what it cannot lease it lets through on credit, which others do not see.
 const PACE_START: f64 = 1.0;
 /// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
 const PACE_SPAN: f64 = 0.25;
@@ -595,7 +595,10 @@
         // Bounds below one request a server hold too: many gateways share a small fleet.
         let (limits, outs) = self.load();
         let told = self.fleet.known();
-        let full = !told && outs >= f64::max(limits.min(self.room), 1.0);
+        // Reports stand for the bounds of single servers, not for the one over all: a report of one server is
+        // seconds old by the next request, while answers of all together tell at once that too much is out.
+        let bound = if told { self.room } else { limits.min(self.room) };
+        let full = outs >= bound.max(1.0);
         let trial = class.effect != Effect::Unsafe && request.attempts.is_empty();
         let same = |server: &Server| match (class.effect, class.scope, group) {
             (Effect::Keyed, Scope::Zone, Some((zone, _))) => zone == server.zone,
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -116,3 +116,26 @@
     assert_eq!(news(18 * S), 5, "all are warm by now");
     assert!(news(S) < 5, "they are cold");
 }
+
+/// Asks for many at once after answers that took so long, each with a report of a server at ease; how many go out.
+fn out_after(latency: Micros) -> usize {
+    let mut host = Host::new(many(), 30);
+    for id in 0..60 {
+        host.ask(id, 0, 3, 8 * S);
+        host.wait(latency);
+        let Some(&server) = host.sent(id).first() else { continue };
+        let (attempt, status, closed, load) = (0, Status::Ok, true, report(3.0, 20.0, 0.7));
+        host.give(Event::Outcome(Outcome { id, attempt, server, status, latency, closed, load }));
+    }
+    for id in 100..125 {
+        host.ask(id, 0, 3, 8 * S);
+    }
+    (100..125).filter(|id| !host.sent(*id).is_empty()).count()
+}
+
+#[test]
+fn slow_answers_of_all_servers_bound_what_is_out_whatever_single_reports_say() {
+    assert_eq!(out_after(100 * MS), 25, "fast answers: each finds a server");
+    let slow = out_after(800 * MS);
+    assert!(slow <= 4, "{slow} of 25 go out to servers that take eight tenths of the aim in the mean");
+}
