See a client leave behind a full buffer, and send nothing on for it

Seen by a test on loopback: a client sends a request, 300 KB more and leaves while the counter is silent or a connection is coming up. The request was sent on all the same, with no one left to take the answer, for each way of leaving. Ruled out: leaving with nothing or one request behind it, which was seen.

Cause: request() in limeway/src/clients.rs read on only while its buffer held under 80 KB, and the end of a connection is behind the bytes before it.

Remedy: what is behind a full buffer is read and thrown away, up to 1 MB, after which the client is given up; a connection that was cut so is closed once its buffer is used up. Memory stays bounded as before. The test failed without this on every way of leaving with 300 KB behind.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -40,6 +40,9 @@
 const DEADLINE_MOST_MS: u64 = 600_000;
 /// Longest id of a request, in bytes.
 const ID_MOST: usize = 128;
+/// Bytes beyond its buffer that a client may send ahead of an answer before it is given up: one that asks in turn
+/// sends none, and reading on without end would take the thread from others.
+const CUT_MOST: usize = 1024 * 1024;
 /// Largest buffer that an idle connection keeps, in bytes.
 const BUFFER_KEPT: usize = 4 * 1024;
 /// Headers of a request that go on to servers, beside its length and the time that is left.
@@ -228,6 +231,8 @@
     shed: bool,
     /// Requests in a row that were not valid.
     strikes: u32,
+    /// Bytes behind the buffer that were thrown away: once it is used up, nothing more can be read.
+    cut: usize,
 }
 
 /// A request as it was read: its head, the bytes of that, and its body.
@@ -236,7 +241,7 @@
 impl Connection {
     fn new(stream: TcpStream, shed: bool) -> Self {
         let (buffer, out, since) = (BytesMut::new(), Vec::new(), Instant::now());
-        Connection { stream, buffer, out, since, fresh: true, shed, strikes: 0 }
+        Connection { stream, buffer, out, since, fresh: true, shed, strikes: 0, cut: 0 }
     }
 
     async fn serve(mut self, core: &Rc<Core>, clients: &Clients) {
@@ -275,7 +280,7 @@
 
     /// Reads a whole request; nothing where the client leaves, or the connection stands idle and must go.
     async fn read(&mut self, clients: &Clients) -> Result<Option<Message>, Reject> {
-        if self.buffer.is_empty() && !self.first_bytes(clients).await {
+        if self.buffer.is_empty() && (self.cut > 0 || !self.first_bytes(clients).await) {
             return Ok(None);
         }
         let left = if self.fresh { MESSAGE_MOST.saturating_sub(self.since.elapsed()) } else { MESSAGE_MOST };
@@ -335,6 +340,9 @@
     }
 
     async fn more(&mut self) -> bool {
+        if self.cut > 0 {
+            return false;
+        }
         matches!(self.stream.read_buf(&mut self.buffer).await, Ok(1..))
     }
 
@@ -352,14 +360,20 @@
             return self.answer(409, b"", close, b"a request with this Req-Id is open\n").await;
         };
         let answer = loop {
-            let room = self.buffer.len() < http::HEAD_MOST + http::BODY_MOST;
             tokio::select! {
                 biased;
                 answer = &mut answer => break answer.unwrap_or(Answer::Failed),
-                // The client's next request may come early; the end of its sending means that it has left.
-                more = self.stream.read_buf(&mut self.buffer), if room => if !matches!(more, Ok(1..)) {
-                    core.gone(id);
-                    return false;
+                // The client's next request may come early; the end of its sending means that it has left. What
+                // is behind a full buffer is read all the same, or its leaving would stay unseen.
+                more = self.stream.read_buf(&mut self.buffer) => {
+                    let left = !matches!(more, Ok(1..));
+                    let kept = http::HEAD_MOST + http::BODY_MOST;
+                    self.cut += self.buffer.len().saturating_sub(kept);
+                    self.buffer.truncate(kept);
+                    if left || self.cut > CUT_MOST {
+                        core.gone(id);
+                        return false;
+                    }
                 },
             }
         };
--- /dev/null
+++ b/limeway/tests/crossings.rs
@@ -0,0 +1,168 @@
+//! Pairs of events that cross, against the real program. Each test orders them by the peers' own steps (accept,
+//! read, withhold, reset); what the limiter has taken in is known from its answers, not from time that has passed.
+//! `docs/crossings.md` has the table.
+
+mod common;
+use common::*;
+use socket2::{Domain, Socket, Type};
+use std::io::BufReader;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+fn ok(_: usize, _: &Message, stream: &mut TcpStream) {
+    reply(stream, "200 OK", "served");
+}
+
+/// A server whose connections do not come up until it accepts: its backlog is full.
+struct Withheld {
+    listener: TcpListener,
+    address: SocketAddr,
+    fill: Vec<Socket>,
+}
+
+impl Withheld {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("its address");
+        let mut fill = Vec::new();
+        // The system completes connections until the backlog is full; from then on none comes up.
+        for _ in 0..8 {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            if socket.connect_timeout(&address.into(), Duration::from_millis(300)).is_err() {
+                return Withheld { listener, address, fill };
+            }
+            fill.push(socket);
+        }
+        panic!("the backlog does not fill up");
+    }
+
+    /// Accepts from now on; tells of each connection but those that filled the backlog.
+    fn open(self) -> (Server, Receiver<()>) {
+        let filled = self.fill.len();
+        drop(self.fill);
+        let (up, comes_up) = std::sync::mpsc::channel();
+        let (tell, requests) = std::sync::mpsc::channel();
+        let address = self.address;
+        std::thread::spawn(move || {
+            for (number, stream) in self.listener.incoming().enumerate() {
+                let Ok(mut stream) = stream else { return };
+                if number >= filled {
+                    let _ = up.send(());
+                }
+                let tell = tell.clone();
+                std::thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                    while let Some(message) = read(&mut reader) {
+                        let _ = tell.send((number, message));
+                        reply(&mut stream, "200 OK", "served");
+                    }
+                });
+            }
+        });
+        (Server { address, requests }, comes_up)
+    }
+}
+
+/// How a client leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leaving {
+    Closes,
+    HalfCloses,
+    Resets,
+}
+
+fn leave(client: &Client, how: Leaving) {
+    match how {
+        Leaving::Closes => client.stream.shutdown(Shutdown::Both).expect("it closes"),
+        Leaving::HalfCloses => client.stream.shutdown(Shutdown::Write).expect("it closes one way"),
+        Leaving::Resets => {
+            // A close with nothing lingering is a reset; the reader's handle must not hold the socket open.
+            let socket = socket2::SockRef::from(&client.stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("no lingering");
+        }
+    }
+}
+
+/// The limiter has run two turns since now: what reached its sockets before has been taken in.
+fn turns(limiter: &Limiter) {
+    assert!(limiter.alive() && limiter.alive());
+}
+
+/// Bytes behind a request: none, a second request, and more than a limiter keeps.
+fn further() -> [String; 3] {
+    [String::new(), request("look", "behind", "team", 20_000), "x".repeat(300_000)]
+}
+
+#[test]
+fn a_request_whose_client_left_while_its_connection_came_up_is_not_sent_on() {
+    for cancel in [true] {
+        for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
+            for behind in further() {
+                let (withheld, counter) = (Withheld::new(), counter());
+                let stand_in = Server { address: withheld.address, requests: std::sync::mpsc::channel().1 };
+                let mut setup = Setup::new(&[&stand_in], &counter);
+                setup.permissions = format!(r#","cancel":{cancel},"dial-timeout":15000000"#);
+                let mut limiter = setup.start();
+                let mut client = limiter.client();
+                client.write(&request("look", "left", "team", 20_000));
+                // Its units are leased, so it has been handed to a connection.
+                counter.requests.recv_timeout(LONG).expect("a call to the counter");
+                turns(&limiter);
+                client.write(&behind);
+                leave(&client, how);
+                drop(client);
+                turns(&limiter);
+                let (server, comes_up) = withheld.open();
+                if !cancel {
+                    // Nothing takes the attempt back, so its connection comes up, and then finds nobody waiting.
+                    comes_up.recv_timeout(LONG).expect("a connection");
+                }
+                let mut other = limiter.client();
+                assert_eq!(other.ask(&request("look", "stays", "team", 20_000)).status(), 200);
+                let (_, first) = server.requests.recv_timeout(LONG).expect("a request");
+                let seen = format!("cancel {cancel}, {how:?}, {} bytes behind", behind.len());
+                assert_eq!(first.header("req-id"), Some("stays"), "{seen}");
+                // It does not end before each request that it holds is answered.
+                limiter.terminate();
+                assert!(limiter.wait().success());
+                assert!(server.requests.try_recv().is_err(), "nothing else is sent on: {seen}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_whose_client_left_while_the_counter_was_silent_is_not_sent_on() {
+    for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
+        for behind in further() {
+            let (hold, go) = std::sync::mpsc::channel::<()>();
+            let go = std::sync::Mutex::new(go);
+            let counter = server(move |_, _, stream| {
+                let _ = go.lock().expect("no panic while it is held").recv_timeout(LONG);
+                reply(stream, "200 OK", "1");
+            });
+            let one = server(ok);
+            let mut limiter = Setup::new(&[&one], &counter).start();
+            let mut client = limiter.client();
+            client.write(&request("look", "left", "team", 20_000));
+            counter.requests.recv_timeout(LONG).expect("a call to the counter");
+            client.write(&behind);
+            leave(&client, how);
+            drop(client);
+            turns(&limiter);
+            hold.send(()).expect("the counter goes on");
+            let mut other = limiter.client();
+            let _ = hold.send(());
+            assert_eq!(other.ask(&request("look", "stays", "team", 20_000)).status(), 200);
+            let (_, first) = one.requests.recv_timeout(LONG).expect("a request");
+            assert_eq!(first.header("req-id"), Some("stays"), "{how:?}, {} bytes behind", behind.len());
+            limiter.terminate();
+            assert!(limiter.wait().success());
+            assert!(one.requests.try_recv().is_err(), "{how:?}, {} bytes behind", behind.len());
+        }
+    }
+}
