Look again before a request is written to a connection that was coming up

Seen by tests on loopback with a server that withholds its connections: a request was written once its connection came up though its client had left (where the site forbids to cancel), and though discovery had said meanwhile that the server drains: 2 of 4 went there. Where a connection may take longer than the time of grace this breaks the drain rule.

Cause: attempt() in limeway/src/servers.rs checked nothing between the decision and the write, and preferred the connection over the order to stop when both came in one turn. Such an attempt ended as cancelled, as if it may have run.

Remedy: after the connection is up the request must be open, the attempt not stopped and the server in service at that address; else nothing is written, the connection is kept if it is sound, and the attempt never ran, so that even a request that is unsafe to repeat moves on. The module takes a trial that was never made as no proof; before, its server was barred for good: guards.rs has the test. All three tests failed without this.

--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -326,6 +326,13 @@
         self.run(&mut state);
     }
 
+    /// Whether an attempt that is not written yet still should be: its request is open and nothing has ended it.
+    pub fn wanted(&self, id: RequestId, number: u32) -> bool {
+        let state = self.state.borrow();
+        let open = state.open.get(&id).filter(|o| o.reply.is_some());
+        open.and_then(|o| o.attempts.get(number as usize)).is_some_and(|a| a.stop.is_some())
+    }
+
     /// An attempt has ended; its connection is closed or back in its pool.
     pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, end: End) {
         let End { status, served, load } = end;
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -364,6 +364,11 @@
         }
     }
 
+    /// Whether a server is in service at this address.
+    fn serves(&self, server: ServerId, address: SocketAddr) -> bool {
+        self.hosts.borrow().get(server).is_some_and(|h| h.ready && h.address == Some(address))
+    }
+
     /// Counts what is out at a server, by one more or one less.
     fn count_out(&self, server: ServerId, more: bool) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(server) {
@@ -406,10 +411,12 @@
 pub fn start(core: Rc<Core>, start: Start, stopped: oneshot::Receiver<Status>) {
     core.pools.count_out(start.server, true);
     tokio::task::spawn_local(async move {
+        let written = Cell::new(false);
         let end = tokio::select! {
             biased;
-            end = attempt(&core, &start) => end,
-            status = stopped => status.unwrap_or(Status::Cancelled).into(),
+            end = attempt(&core, &start, &written) => end,
+            // Stopped before its last byte was handed over, it cannot have run.
+            status = stopped => if written.get() { status.unwrap_or(Status::Cancelled) } else { Status::Moot }.into(),
         };
         core.ended(start.id, start.number, end);
         core.pools.count_out(start.server, false);
@@ -445,7 +452,7 @@
     load
 }
 
-async fn attempt(core: &Core, start: &Start) -> End {
+async fn attempt(core: &Core, start: &Start, written: &Cell<bool>) -> End {
     let pools = &core.pools;
     let mut conn = match pools.take(start.server) {
         Some(Ok(conn)) => conn,
@@ -467,9 +474,17 @@
         // No address, or all connections that this process may hold are busy.
         None => return Status::Moot.into(),
     };
+    // While the connection came up the client may have left, the attempt may have been told to end, and the
+    // server may have been drained or replaced: nothing is sent on then, and what is sound is kept for others.
+    if !core.wanted(start.id, start.number) {
+        pools.give_back(start.server, conn);
+        return Status::Moot.into();
+    }
+    if !pools.serves(start.server, conn.to) {
+        return Status::Moot.into();
+    }
     let message = message(&start.forward, start.left);
-    let written = Cell::new(false);
-    if let Err(e) = conn.write(&message, &written).await {
+    if let Err(e) = conn.write(&message, written).await {
         log::debug!("server {} broke off before the request was written: {e}", start.server);
         // Broke before the last byte was handed over: it cannot have run.
         return Status::ConnectFailed.into();
--- a/limeway/tests/crossings.rs
+++ b/limeway/tests/crossings.rs
@@ -99,7 +99,7 @@
 
 #[test]
 fn a_request_whose_client_left_while_its_connection_came_up_is_not_sent_on() {
-    for cancel in [true] {
+    for cancel in [true, false] {
         for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
             for behind in further() {
                 let (withheld, counter) = (Withheld::new(), counter());
@@ -166,3 +166,35 @@
         }
     }
 }
+
+#[test]
+fn nothing_goes_to_a_server_that_was_drained_while_its_connection_came_up() {
+    let (one, two, counter) = (Withheld::new(), Withheld::new(), counter());
+    let all = [entry("s-0", one.address, "SERVING"), entry("s-1", two.address, "SERVING")];
+    let (agent, news) = discovery(list(1, true, &all));
+    let stand_in = |address| Server { address, requests: std::sync::mpsc::channel().1 };
+    let mut setup = Setup::new(&[&stand_in(one.address), &stand_in(two.address)], &counter);
+    setup.permissions = r#","dial-timeout":15000000"#.to_owned();
+    setup.discovery = Some(agent.address);
+    let limiter = setup.start();
+    // Each server gets two of four: the one with less outstanding comes first.
+    let mut clients: Vec<Client> = (0..4).map(|_| limiter.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&request("once", &format!("moves-{n}"), "team", 20_000));
+        counter.requests.recv_timeout(LONG).expect("a call to the counter");
+        turns(&limiter);
+    }
+    news.send(list(2, false, &[entry("s-0", one.address, "DRAINING")])).expect("it is told");
+    let told = |m: &Message| m.line.contains("from=2");
+    while !told(&agent.requests.recv_timeout(LONG).expect("the next watch").1) {}
+    let ((one, _), (two, _)) = (one.open(), two.open());
+    for client in &mut clients {
+        assert_eq!(
+            client.read().expect("an answer").status(),
+            200,
+            "it never ran, so even this class moves on"
+        );
+    }
+    let served = two.requests.try_iter().count();
+    assert_eq!((one.requests.try_iter().count(), served), (0, 4), "nothing is sent to the one that drains");
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -767,8 +767,8 @@
                         server.suspect(now);
                     }
                 }
-                // A trial that ended without an answer proves nothing: suspect as before.
-                Status::Cancelled if server.health == Health::Trial => server.suspect(now),
+                // A trial that ended without an answer, or was never made, proves nothing: suspect as before.
+                Status::Cancelled | Status::Moot if server.health == Health::Trial => server.suspect(now),
                 Status::Full | Status::Cancelled | Status::Moot => {}
             }
             if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -340,3 +340,20 @@
     let out = host.sends.len() - before;
     assert!(out <= 30, "{out} sent after a second of silence");
 }
+
+#[test]
+fn a_trial_that_was_never_made_does_not_bar_its_server_for_good() {
+    let mut host = Host::new(Settings { gateways: 1, ..settings() }, 1);
+    // Three failures make the only server suspect; a second later one request tries it out.
+    for id in 0..3 {
+        host.ask(id, 2, 3, 4 * S);
+        host.done(id, 0, 0, Status::Error);
+    }
+    host.wait(1_100 * MS);
+    host.ask(10, 0, 3, 4 * S);
+    assert_eq!(host.sent(10), [0], "it is tried out");
+    host.done(10, 0, 0, Status::Moot);
+    host.wait(9 * S);
+    host.ask(11, 0, 3, 4 * S);
+    assert_eq!(host.sent(11), [0], "nothing was learnt, so it is tried out again");
+}
