Open a silent watch anew before what it misses counts as told

Confirmed, where it pushes: a new process whose first call is not heard asked again after 1.5 s, beyond the time of grace of a second or less, while its agent counts as heard from the first moment; and the call after a silent watch waited 10 s again, so that a second silence was found as late as the first.

Remedy: one clock. A call is given up half a second before what it misses counts as told; a silent watch is opened anew at once in both modes, with a call that is answered without a wait; and where lists are pushed such a call takes half the time of grace at first, doubled with each failure. A discovery that turns calls away is asked as seldom as before.

The loopback test plays both modes; the old program never opened the watch anew in the asked one.

--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::servers::{Conn, Reply};
-use pondgw::{Event, ListKind};
+use pondgw::{Event, ListKind, Setup};
 use serde::Deserialize;
 use std::cell::Cell;
 use std::io;
@@ -14,15 +14,19 @@
 /// How long a watch waits for changes, in milliseconds: what is told to a silent watch counts as told 2 s
 /// after its end, so a broken one should not go unnoticed for long.
 const HOLD_MS: u64 = 10_000;
-/// The same for the first one.
+/// The same for the first one, and for the first after a failure: its answer shows that it is heard.
 const FIRST_HOLD_MS: u64 = 1;
-/// Time beyond that after which discovery is held to be silent.
-const GRACE: Duration = Duration::from_millis(1_500);
-/// The same where discovery must be asked: calls of all limiters wait in one line there, and what it has sent
-/// by then counts as told, so that to give up sooner is to go on with an old list.
-const GRACE_ASKED: Duration = Duration::from_secs(6);
-/// Time for a call that has nothing to wait for.
+/// What a silent call misses counts as told after this time, and not before so long after its wait is over.
+const TOLD: (Duration, Duration) = (Duration::from_secs(6), Duration::from_secs(2));
+/// Part of that time which is left for opening a silent call anew and for its answer.
+const REOPEN: Duration = Duration::from_millis(500);
+/// Time for a call that has nothing to wait for where lists are pushed: its agent answers at once.
 const CALL_MOST: Duration = Duration::from_millis(1_500);
+/// Part of the time of grace for drains that such a call may take at first: what the agent has counts as told
+/// whether or not it is heard, from the first moment on.
+const GRACE_PART: u32 = 2;
+/// Failures in a row after which that time is doubled no more.
+const DOUBLED_MOST: u32 = 5;
 /// Wait after a failed call: at first, and at most after doubling.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
@@ -122,15 +126,16 @@
     // less than the whole list. They are asked for without a wait, as the limiter is not ready before.
     let known = core.config.known.as_ref().filter(|list| !moved && list.whole && list.spoilt == 0);
     let (mut conn, mut seq, mut backoff) = (None, known.map(|list| list.seq), BACKOFF.0);
-    let mut hold = FIRST_HOLD_MS;
+    let (mut hold, mut failures, mut anew) = (FIRST_HOLD_MS, 0, false);
     loop {
-        if ask && conn.is_none() && !moved {
+        if ask && conn.is_none() && !moved && !anew {
             core.watch.notified().await;
         }
-        moved = false;
-        match call(core, &mut conn, seq, hold).await {
+        (moved, anew) = (false, false);
+        let held = seq.map(|_| hold);
+        match call(core, &mut conn, seq, hold, patience(&core.config.setup, held, failures)).await {
             Ok(list) => {
-                hold = HOLD_MS;
+                (hold, failures) = (HOLD_MS, 0);
                 // Changes refer to the list held; the whole list stands for itself, unless some of it cannot be
                 // read: whoever is not named then may well be there.
                 if list.whole && list.spoilt == 0 {
@@ -152,7 +157,14 @@
             Err(e) => {
                 log::info!("discovery: {e}");
                 conn = None;
-                if ask {
+                // A watch that has fallen silent is opened anew at once, where it must be asked for, too: what
+                // it missed soon counts as told. A call that was turned away waits for the module's word.
+                anew = e.kind() == io::ErrorKind::TimedOut && hold == HOLD_MS;
+                hold = FIRST_HOLD_MS;
+                failures = (failures + 1).min(DOUBLED_MOST);
+                if anew {
+                    continue;
+                } else if ask {
                     core.feed(Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
                 } else {
                     tokio::time::sleep(backoff).await;
@@ -163,21 +175,32 @@
     }
 }
 
-/// How long an answer is waited for, of a watch with its wait or of a call without one.
-fn patience(ask: bool, hold_ms: Option<u64>) -> Duration {
-    match (ask, hold_ms) {
-        (true, hold_ms) => Duration::from_millis(hold_ms.unwrap_or_default()) + GRACE_ASKED,
-        (false, Some(hold_ms)) => Duration::from_millis(hold_ms) + GRACE,
-        (false, None) => CALL_MOST,
+/// How long an answer is waited for, of a watch with its wait or of a call without one, after failures in a row.
+fn patience(setup: &Setup, hold_ms: Option<u64>, failures: u32) -> Duration {
+    let hold = Duration::from_millis(hold_ms.unwrap_or_default());
+    // Where discovery must be asked, calls of all limiters wait in one line there: to give up much before what it
+    // has sent counts as told is to go on with an old list, and to wait beyond that is to break the drain rule.
+    if setup.settings.ask || hold_ms == Some(HOLD_MS) {
+        return TOLD.0.max(hold + TOLD.1) - REOPEN;
+    }
+    let grace = Duration::from_micros(setup.drain_grace) / GRACE_PART;
+    if grace.is_zero() {
+        return CALL_MOST;
     }
+    (grace * (1 << failures)).min(CALL_MOST)
 }
 
-async fn call(core: &Core, conn: &mut Option<Conn>, seq: Option<u64>, hold_ms: u64) -> io::Result<List> {
+async fn call(
+    core: &Core,
+    conn: &mut Option<Conn>,
+    seq: Option<u64>,
+    hold_ms: u64,
+    most: Duration,
+) -> io::Result<List> {
     let target = match seq {
         Some(seq) => format!("/catalog/members?from={seq}&hold_ms={hold_ms}"),
         None => "/catalog/members".to_owned(),
     };
-    let most = patience(core.config.setup.settings.ask, seq.map(|_| hold_ms));
     let message = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
     let exchange = async {
         let mut open = match conn.take().filter(Conn::quiet) {
@@ -200,13 +223,41 @@
 mod tests {
     use super::*;
 
-    /// Guards against a list that the agent has, which counts as told, while the limiter has given up the call.
+    fn setup(ask: bool, grace_us: u64) -> Setup {
+        let mode = if ask { "ask" } else { "push" };
+        let text = format!(r#"{{"discovery":"{mode}","rules":{{"drain-grace":{grace_us}}}}}"#);
+        Setup::read(&serde_json::from_str(&text).expect("an object")).expect("settings")
+    }
+
+    /// Guards both ways: a list that the agent has, which counts as told, must not find the call given up long
+    /// before; and a silent call must be opened anew before what it misses counts as told.
+    #[test]
+    fn a_call_is_waited_for_until_just_before_what_it_misses_counts_as_told() {
+        let second = Duration::from_secs(1);
+        for (hold, told) in
+            [(None, 6 * second), (Some(FIRST_HOLD_MS), 6 * second), (Some(HOLD_MS), 12 * second)]
+        {
+            for failures in [0, DOUBLED_MOST] {
+                let most = patience(&setup(true, 1_000_000), hold, failures);
+                assert!(most < told && most >= told - REOPEN, "asked, {hold:?}: {most:?}");
+            }
+        }
+        let most = patience(&setup(false, 1_000_000), Some(HOLD_MS), 0);
+        assert!(most < 12 * second && most >= 12 * second - REOPEN, "pushed: {most:?}");
+    }
+
+    /// Guards against a new process that goes on by its old list for longer than the time of grace.
     #[test]
-    fn an_answer_that_waits_in_line_is_waited_for_until_it_counts_as_told() {
-        let told = Duration::from_secs(6);
-        assert!(patience(true, None) >= told);
-        assert!(patience(true, Some(FIRST_HOLD_MS)) >= told);
-        assert!(patience(true, Some(HOLD_MS)) >= Duration::from_millis(HOLD_MS) + told);
-        assert!(patience(false, None) <= CALL_MOST, "where it pushes, silence is found out soon");
+    fn a_first_call_that_is_not_heard_leaves_time_for_another_within_the_grace() {
+        for grace in [200_000, 500_000, 1_000_000] {
+            let most = patience(&setup(false, grace), Some(FIRST_HOLD_MS), 0);
+            assert!(most + BACKOFF.0 < Duration::from_micros(grace), "{most:?} of {grace} us");
+        }
+        assert_eq!(patience(&setup(false, 0), None, 3), CALL_MOST, "where no grace is told");
+        assert_eq!(
+            patience(&setup(false, 500_000), None, DOUBLED_MOST),
+            CALL_MOST,
+            "a slow machine gets there"
+        );
     }
 }
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -175,6 +175,8 @@
     pub keepalive_us: u64,
     pub permissions: String,
     pub seed: u64,
+    /// Discovery must be asked.
+    pub ask: bool,
 }
 
 impl Setup {
@@ -189,6 +191,7 @@
             keepalive_us: 30_000_000,
             permissions: String::new(),
             seed: 0x8c1f_30d2_7a5b_e964,
+            ask: false,
         }
     }
 
@@ -206,7 +209,7 @@
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"peer_listen":{},"peers":[{}],
 "counter":"{}","known":{known},
-"settings":{{"balancers":2,"me":0,"discovery":"push","failure-domains":["a"],"zone":"a","round":4000,
+"settings":{{"balancers":2,"me":0,"discovery":"{}","failure-domains":["a"],"zone":"a","round":4000,
 "family-info":{{"count-limit":2000000,"max-units":4,"may-count":true}},
 "permissions":{{"cancel":true,"dial-timeout":500000,"keepalive":{},"max-attempts":3,
 "max-retry-after":1000000,"may-duplicate":false,"may-tell":true,"retry-after":true{}}},
@@ -221,6 +224,7 @@
             peers.first().map_or("\"127.0.0.1:0\"".into(), String::clone),
             peers.join(","),
             self.counter,
+            if self.ask { "ask" } else { "push" },
             self.keepalive_us,
             self.permissions,
         )
--- a/limeway/tests/crossings.rs
+++ b/limeway/tests/crossings.rs
@@ -7,6 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::BufReader;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -198,3 +199,45 @@
     let served = two.requests.try_iter().count();
     assert_eq!((one.requests.try_iter().count(), served), (0, 4), "nothing is sent to the one that drains");
 }
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_with_a_call_that_is_answered_at_once() {
+    for mode in ["push", "ask"] {
+        let (one, two, counter) = (server(ok), server(ok), counter());
+        let all = [entry("s-0", one.address, "SERVING"), entry("s-1", two.address, "SERVING")];
+        let whole = list(1, true, &all);
+        let change = list(2, false, &[entry("s-0", one.address, "DRAINING")]);
+        // The first watch that waits is never answered; whoever asks anew is told at once.
+        let silent = std::sync::atomic::AtomicBool::new(false);
+        let agent = server(move |_, message, stream| {
+            let waits = message.line.contains("hold_ms=10000 ");
+            if waits && (message.line.contains("from=2") || !silent.swap(true, Ordering::SeqCst)) {
+                std::thread::park();
+            }
+            let told = silent.load(Ordering::SeqCst);
+            reply(stream, "200 OK", if told { &change } else { &whole });
+        });
+        let mut setup = Setup::new(&[&one, &two], &counter);
+        setup.discovery = Some(agent.address);
+        setup.ask = mode == "ask";
+        let limiter = setup.start();
+        let next = |part: &str| {
+            let end = std::time::Instant::now() + 2 * LONG;
+            while !agent.requests.recv_timeout(LONG).expect("a call").1.line.contains(part) {
+                assert!(std::time::Instant::now() < end, "{mode}: no call with {part}");
+            }
+            std::time::Instant::now()
+        };
+        let fell_silent = next("hold_ms=10000 ");
+        let anew = next("hold_ms=1 ");
+        let took = anew - fell_silent;
+        // What a silent call misses counts as told 2 s after its wait; a second of grace comes on top.
+        assert!(took < Duration::from_secs(13), "{mode}: opened anew after {took:?}");
+        next("from=2");
+        for n in 0..6 {
+            let answer = limiter.client().ask(&request("look", &format!("{mode}-{n}"), "team", 20_000));
+            assert_eq!(answer.status(), 200);
+        }
+        assert_eq!((one.requests.try_iter().count(), two.requests.try_iter().count()), (0, 6), "{mode}");
+    }
+}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -37,6 +37,10 @@
     pub dial_timeout: Micros,
     /// A server closes idle connections after this time at the latest.
     pub keepalive: Micros,
+    /// Time in which sends to a server that drains must stop; 0 where it is not told.
+    pub drain_grace: Micros,
+    /// The longest time that a client of any class waits.
+    pub longest: Micros,
 }
 
 fn num(v: &Value, key: &str) -> f64 {
@@ -130,6 +134,8 @@
             zones,
             dial_timeout: time(allow, "dial-timeout"),
             keepalive: time(allow, "keepalive"),
+            drain_grace: time(rules, "drain-grace"),
+            longest: rows(v, "profiles").iter().map(|p| time(p, "deadline")).max().unwrap_or_default(),
         })
     }
 }
