Answer all that was taken before ending, and what comes late before SIGKILL

Confirmed: after SIGTERM the program ended after 9 s whatever was open (FINISH_MOST in limeway/src/main.rs), while deadlines come from the settings and clients; the second of two requests that were written at once was dropped, as the first one's answer closed the connection; SIGHUP was no longer heard; the listener stayed open up to 1.2 s, so that requests came later than 0.7 s, which SIGKILL must not find unanswered. From reading only: connections in the backlog were reset with the listener.

SIGTERM during start was checked: it is heard from the first line on.

Three tests of limeway/tests/crossings.rs failed without this.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -95,6 +95,8 @@
     close: Notify,
     /// When the last connection was accepted.
     accepted: Cell<Option<Instant>>,
+    /// No more connections are waited for.
+    stop: Notify,
 }
 
 impl Clients {
@@ -109,6 +111,7 @@
             closing: Cell::new(Closing::None),
             close: Notify::new(),
             accepted: Cell::new(None),
+            stop: Notify::new(),
         })
     }
 
@@ -122,6 +125,11 @@
         self.accepted.get().map_or(Duration::MAX, |at| at.elapsed())
     }
 
+    /// Accepts what has connected already, then closes the listener.
+    pub fn stop_listening(&self) {
+        self.stop.notify_one();
+    }
+
     /// Closes connections once they are idle.
     pub fn close_idle(&self, which: Closing) {
         self.closing.set(which);
@@ -180,14 +188,19 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections, for ever.
+/// Accepts connections, until told to stop.
 pub async fn run(core: Rc<Core>, clients: Rc<Clients>, listener: TcpListener) {
     loop {
         let shed = !clients.make_room().await;
         if clients.count.get() >= clients.most + SHED {
             continue;
         }
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = clients.stop.notified() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 clients.accepted.set(Some(Instant::now()));
                 let counted = Counted::new(&clients.count);
@@ -256,7 +269,8 @@
                 }
             };
             self.fresh = false;
-            let close = !head.keep_alive || core.draining.get() || self.shed;
+            let last = !head.keep_alive || self.shed;
+            let close = last || self.ends(core);
             let asked = read_request(&core.config.setup, &head, &bytes, body);
             self.strikes = if asked.is_err() { self.strikes + 1 } else { 0 };
             let open = match asked {
@@ -267,7 +281,7 @@
                 Ok(Ask::Health) => self.answer(503, b"", close, b"not ready\n").await,
                 // Too many connections: turned away before the module has heard of it.
                 Ok(Ask::Demand(..)) if self.shed => self.answer(503, b"Retry-After: 1\r\n", true, b"").await,
-                Ok(Ask::Demand(id, demand, forward)) => self.request(core, id, demand, forward, close).await,
+                Ok(Ask::Demand(id, demand, forward)) => self.request(core, id, demand, forward, last).await,
             };
             if !open {
                 return;
@@ -339,6 +353,11 @@
         Ok(Some((head, bytes, body.bytes)))
     }
 
+    /// Whether the limiter is ending and nothing more has come: a request behind this one is taken already.
+    fn ends(&self, core: &Core) -> bool {
+        core.draining.get() && self.buffer.is_empty() && servers::quiet(&self.stream)
+    }
+
     async fn more(&mut self) -> bool {
         if self.cut > 0 {
             return false;
@@ -353,10 +372,11 @@
         name: Vec<u8>,
         demand: Demand,
         forward: Forward,
-        close: bool,
+        last: bool,
     ) -> bool {
         let Some((id, mut answer)) = core.request(&name, demand, forward) else {
             self.strikes += 1;
+            let close = last || self.ends(core);
             return self.answer(409, b"", close, b"a request with this Req-Id is open\n").await;
         };
         let answer = loop {
@@ -377,7 +397,7 @@
                 },
             }
         };
-        let close = close || core.draining.get();
+        let close = last || self.ends(core);
         match answer {
             Answer::Served(served) => self.answer(200, &served.headers, close, &served.body).await,
             Answer::Refused(0) => self.answer(429, b"", close, b"").await,
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -20,6 +20,12 @@
 /// Time that the module then has for its final answer.
 const GUARD_WAIT: Micros = 2_000;
 
+/// After SIGTERM, what comes later than the first time must be answered by SIGKILL, which comes no sooner than the
+/// longest deadline, or the second time where that is longer, and the first time on top.
+const ENDING: (Micros, Micros) = (700_000, 3_000_000);
+/// Time before that at which such a request must be done, for its answer to be taken; and what it has at least.
+const ENDING_LEFT: Micros = 100_000;
+
 /// Timers beyond which, with four for each open request, those of requests that are over are dropped.
 const TIMERS_KEPT: usize = 1_024;
 
@@ -136,6 +142,8 @@
     pub ready: Cell<bool>,
     /// The process has been told to end.
     pub draining: Cell<bool>,
+    /// When that was.
+    told: Cell<Micros>,
     /// For what could be told with each request.
     pub seldom: Seldom,
     state: RefCell<State>,
@@ -162,6 +170,7 @@
             watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
+            told: Cell::new(0),
             seldom: Seldom::default(),
             state: RefCell::new(State {
                 gateway,
@@ -181,6 +190,23 @@
         core
     }
 
+    /// The process has been told to end.
+    pub fn end(&self) {
+        self.draining.set(true);
+        self.told.set(self.clock.now());
+    }
+
+    /// Time that a request may take which comes now: less than its client gives it where the process will be
+    /// killed before.
+    fn time_left(&self, left: Micros) -> Micros {
+        let passed = self.clock.now().saturating_sub(self.told.get());
+        if !self.draining.get() || passed < ENDING.0 {
+            return left;
+        }
+        let most = self.config.setup.longest.min(ENDING.1) + ENDING.0;
+        left.min(most.saturating_sub(passed + ENDING_LEFT).max(ENDING_LEFT))
+    }
+
     /// Goes over to other addresses of discovery and the counter.
     pub fn move_to(&self, places: Places) {
         let old = self.places.replace(places);
@@ -304,6 +330,7 @@
         // Numbered here and not by the client's own id, which nobody can vouch for being new.
         state.last_id += 1;
         demand.id = state.last_id;
+        demand.left = self.time_left(demand.left);
         let deadline = self.clock.now() + demand.left;
         let open =
             Open { name, reply: Some(reply), forward: Rc::new(forward), deadline, attempts: Vec::new() };
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Descriptors set aside: standard streams, runtime and signals, listener, datagrams, discovery (8), those that
 /// are just closing (8), and the counter's.
@@ -33,10 +33,11 @@
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 /// After SIGTERM, idle connections are closed after this time; new ones go on coming till then and a bit on.
 const CLOSE_IDLE: Duration = Duration::from_millis(450);
-/// The listener closes once so much time has passed without a new connection, and at the latest then.
-const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(1_200));
-/// Time for what has been taken, in all.
-const FINISH_MOST: Duration = Duration::from_millis(9_000);
+/// The listener closes once so much time has passed without a new connection, and at the latest then: what comes
+/// 0.7 s after SIGTERM or later must be answered by SIGKILL.
+const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(650));
+/// After the last of what has been taken is answered, its connections have so long to take the answer.
+const LAST_MOST: Duration = Duration::from_millis(1_000);
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
@@ -92,24 +93,35 @@
     spawn_local(housekeeping(core.clone()));
     let accepting = spawn_local(clients::run(core.clone(), clients.clone(), listener));
 
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&core),
+    // Also while it ends, which may take as long as the longest deadline.
+    let reloading = core.clone();
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reload(&reloading);
         }
+    });
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
     log::info!("ending: {} requests are open", core.unanswered());
-    core.draining.set(true);
+    core.end();
     let told = Instant::now();
     sleep(CLOSE_IDLE).await;
     clients.close_idle(Closing::Used);
     while told.elapsed() < LISTEN_ON.1 && clients.quiet_for() < LISTEN_ON.0 {
         sleep(Duration::from_millis(10)).await;
     }
-    accepting.abort();
+    // What waits to be accepted was connected before: it is taken first.
+    clients.stop_listening();
+    let _ = timeout(LISTEN_ON.0, accepting).await;
     clients.close_idle(Closing::All);
-    while clients.open() > 0 && told.elapsed() < FINISH_MOST {
+    // Whatever has been taken is answered by its own deadline; ending before that would lose it.
+    let mut answered = Instant::now();
+    while clients.open() > 0 && answered.elapsed() < LAST_MOST {
+        if core.unanswered() > 0 {
+            answered = Instant::now();
+        }
         sleep(Duration::from_millis(5)).await;
     }
     log::info!("ended: {} requests are open", core.unanswered());
--- a/limeway/tests/crossings.rs
+++ b/limeway/tests/crossings.rs
@@ -200,6 +200,78 @@
     assert_eq!((one.requests.try_iter().count(), served), (0, 4), "nothing is sent to the one that drains");
 }
 
+/// A server that holds each answer until it is let go.
+fn holding() -> (Server, std::sync::mpsc::Sender<()>) {
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let held = server(move |_, message, stream| {
+        let _ = wait.lock().expect("no panic while it is held").recv_timeout(LONG);
+        reply(stream, "200 OK", message.header("req-id").unwrap_or_default());
+    });
+    (held, go)
+}
+
+/// The limiter has been told to end, and knows.
+fn ending(limiter: &Limiter) {
+    limiter.terminate();
+    let end = std::time::Instant::now() + LONG;
+    while limiter.alive() {
+        assert!(std::time::Instant::now() < end, "it has not heard");
+    }
+}
+
+#[test]
+fn requests_that_were_written_at_once_before_the_end_are_all_answered() {
+    let ((held, go), counter) = (holding(), counter());
+    let mut limiter = Setup::new(&[&held], &counter).start();
+    let mut client = limiter.client();
+    let both = ["first", "second"].map(|id| request("look", id, "team", 20_000)).concat();
+    client.write(&both);
+    held.requests.recv_timeout(LONG).expect("the first is sent on");
+    ending(&limiter);
+    go.send(()).expect("it waits");
+    go.send(()).expect("it waits");
+    assert_eq!(client.read().expect("an answer").body, "first");
+    let second = client.read().expect("what came before the end is taken, and owed an answer");
+    assert_eq!((second.body.as_str(), second.header("connection")), ("second", Some("close")));
+    assert!(limiter.wait().success());
+}
+
+#[test]
+fn it_does_not_end_before_a_request_that_may_take_long_is_answered() {
+    let ((held, go), counter) = (holding(), counter());
+    let mut limiter = Setup::new(&[&held], &counter).start();
+    let mut client = limiter.client();
+    client.write(&request("once", "long", "team", 19_000));
+    held.requests.recv_timeout(LONG).expect("it is sent on");
+    limiter.terminate();
+    // Not to order events: the limiter used to end by itself after 9 s, whatever was open.
+    std::thread::sleep(Duration::from_millis(9_500));
+    go.send(()).expect("it waits");
+    assert_eq!(client.read().expect("an answer").body, "long");
+    assert!(limiter.wait().success());
+}
+
+#[test]
+fn a_new_configuration_is_taken_in_while_it_ends() {
+    let ((held, go), counter) = (holding(), counter());
+    let (old, _keep) = discovery(list(1, true, &[entry("s-0", held.address, "SERVING")]));
+    let (new, _news) = discovery(list(2, true, &[entry("s-0", held.address, "SERVING")]));
+    let mut setup = Setup::new(&[&held], &counter);
+    setup.discovery = Some(old.address);
+    let mut limiter = setup.start();
+    let mut client = limiter.client();
+    client.write(&request("look", "held", "team", 19_000));
+    held.requests.recv_timeout(LONG).expect("it is sent on");
+    ending(&limiter);
+    let moved = limiter.config.replace(&old.address.to_string(), &new.address.to_string());
+    limiter.reload(&moved);
+    new.requests.recv_timeout(LONG).expect("the new discovery is asked");
+    go.send(()).expect("it waits");
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert!(limiter.wait().success());
+}
+
 #[test]
 fn a_watch_that_falls_silent_is_opened_anew_with_a_call_that_is_answered_at_once() {
     for mode in ["push", "ask"] {
