Keep keyed repeats to their group and ahead of the forgetting of their key

A server that discovery removes is forgotten once its last attempt ends, and its number may be given anew. choose() in src/rules.rs looked the group of a request's first attempt up at that server: gone, it found none, and let a request whose key only one zone or cell knows go anywhere, in the same turn; given anew, it would have found another server's zone.

again() allowed a repeat up to the end of the key's window, though the repeat may go out as late as its connection comes up.

Remedy: an attempt remembers its zone and cell; a repeat is allowed while the window leaves time for a connection, by the settings' own limit for one.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,6 +78,8 @@
     pub retry_after: bool,
     /// Gateways may send each other messages.
     pub peers: bool,
+    /// A connection that an attempt needs may take so long to come up.
+    pub connect: Micros,
 }
 
 /// The counter service.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //!     permissions: Permissions {
 //!         cancel: true, second_copies: true, max_attempts: 3, max_retry_after: 1_000_000, retry_after: true,
 //!         peers: false,
+//!         connect: 0,
 //!     },
 //!     counter: Some(CounterSettings { limit: 50_000 }),
 //!     rules: Rules { cold: 10_000_000, cold_from: 0.3, fall: 1_000_000, fall_multiple: 3.0, ask_within: 0 },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -584,7 +584,7 @@
         let request = self.requests.get(&id)?;
         let class = &self.set.classes[request.class];
         let first = request.attempts.iter().find(|a| a.fate != Fate::NeverRan);
-        let group = first.and_then(|a| self.servers[a.server].as_ref()).map(|s| (s.zone, s.cell));
+        let group = first.map(|a| a.place);
         let now = self.now;
         let usable = self.servers.iter().flatten().filter(|s| s.ready).count();
         let mut share = self.rate / usable.max(1) as f64;
@@ -730,7 +730,8 @@
             server.tokens.level -= 1.0;
         }
         server.outs.insert((id, request.attempts.len() as u32), self.now);
-        request.attempts.push(Attempt { server: at, sent: self.now, fate: Fate::Out, cancelled: false });
+        let (place, fate) = ((server.zone, server.cell), Fate::Out);
+        request.attempts.push(Attempt { server: at, place, sent: self.now, fate, cancelled: false });
         request.stage = Stage::Sent;
         let end = request.deadline.saturating_sub(MARGIN * SWEEP);
         set_alarm(&mut self.alarms, request, id, end.max(self.now));
@@ -833,7 +834,8 @@
         let out_now = request.attempts.iter().any(|a| a.fate == Fate::Out);
         let effect = match (class.effect, request.attempts.iter().find(|a| a.fate != Fate::NeverRan)) {
             (_, None) | (Effect::Safe, _) => true,
-            (Effect::Keyed, Some(a)) => self.now + self.set.round < a.sent + class.window,
+            // It may go out as late as its connection comes up, and must do so while the key is known.
+            (Effect::Keyed, Some(a)) => self.now + self.set.round + allow.connect < a.sent + class.window,
             (Effect::Unsafe, Some(_)) => false,
         };
         let allowed = effect
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -117,6 +117,7 @@
                 max_retry_after: time(allow, "max-retry-after"),
                 retry_after: flag(allow, "retry-after"),
                 peers: flag(allow, "may-tell"),
+                connect: time(allow, "dial-timeout"),
             },
             counter: flag(info, "may-count").then(|| CounterSettings { limit: time(info, "count-limit") }),
             rules: Rules {
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,6 +136,8 @@
 
 pub(crate) struct Attempt {
     pub server: ServerId,
+    /// Its zone and cell: the server itself may be gone by the time they matter.
+    pub place: (usize, u64),
     pub sent: Micros,
     pub fate: Fate,
     pub cancelled: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,6 +42,7 @@
             max_retry_after: S,
             retry_after: true,
             peers: false,
+            connect: 250 * MS,
         },
         counter: Some(CounterSettings { limit: 50 * MS }),
         rules: Rules { cold: 10 * S, cold_from: 0.25, fall: S, fall_multiple: 2.0, ask_within: 0 },
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -357,3 +357,39 @@
     host.ask(11, 0, 3, 4 * S);
     assert_eq!(host.sent(11), [0], "nothing was learnt, so it is tried out again");
 }
+
+#[test]
+fn a_keyed_request_keeps_to_its_group_though_its_first_server_is_gone() {
+    for seed in 0..8 {
+        let mut host = Host::seeded(settings(), 2, seed);
+        host.ask(1, 3, 3, 4 * S);
+        let first = host.sent(1)[0];
+        host.list(ListKind::Delta, vec![Entry { state: Lifecycle::Gone, ..entry(first) }]);
+        host.done(1, 0, first, Status::Reset);
+        host.wait(S);
+        assert_eq!(
+            host.sent(1),
+            [first],
+            "the other server stands in another zone and does not know the key"
+        );
+        assert!(host.failed(1), "it may have run");
+    }
+}
+
+#[test]
+fn a_keyed_request_goes_out_again_only_if_its_connection_surely_is_up_before_the_key_is_forgotten() {
+    for (after, again) in [(2_500 * MS, true), (3_500 * MS, false)] {
+        let mut set = settings();
+        set.permissions.connect = S;
+        let mut host = Host::new(set, 4);
+        host.ask(1, 1, 3, 8 * S);
+        let first = host.sent(1)[0];
+        host.wait(after);
+        // Copies may have gone out meanwhile; all of them end now.
+        for (attempt, server) in (0..).zip(host.sent(1)) {
+            host.done(1, attempt, server, Status::Error);
+        }
+        let late = host.sends.iter().filter(|s| s.1 == 1 && s.0 == host.now).count();
+        assert_eq!(late > 0, again, "after {after} us, first at {first}: {:?}", host.sends);
+    }
+}
