--- a/limeway/tests/crossings.rs
+++ b/limeway/tests/crossings.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::BufReader;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -68,6 +68,17 @@
     }
 }
 
+/// A counter that tells of each answer once it is written: what a limiter does next is then up to the limiter.
+fn telling_counter() -> (Server, Receiver<()>) {
+    let (tell, answered) = std::sync::mpsc::channel();
+    let total = AtomicU32::new(0);
+    let counter = server(move |_, _, stream| {
+        reply(stream, "200 OK", &(total.fetch_add(1, Ordering::SeqCst) + 1).to_string());
+        let _ = tell.send(());
+    });
+    (counter, answered)
+}
+
 /// How a client leaves.
 #[derive(Debug, Clone, Copy)]
 enum Leaving {
@@ -103,7 +114,7 @@
     for cancel in [true, false] {
         for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
             for behind in further() {
-                let (withheld, counter) = (Withheld::new(), counter());
+                let (withheld, (counter, answered)) = (Withheld::new(), telling_counter());
                 let stand_in = Server { address: withheld.address, requests: std::sync::mpsc::channel().1 };
                 let mut setup = Setup::new(&[&stand_in], &counter);
                 setup.permissions = format!(r#","cancel":{cancel},"dial-timeout":15000000"#);
@@ -111,7 +122,7 @@
                 let mut client = limiter.client();
                 client.write(&request("look", "left", "team", 20_000));
                 // Its units are leased, so it has been handed to a connection.
-                counter.requests.recv_timeout(LONG).expect("a call to the counter");
+                answered.recv_timeout(LONG).expect("a call to the counter");
                 turns(&limiter);
                 client.write(&behind);
                 leave(&client, how);
@@ -170,7 +181,7 @@
 
 #[test]
 fn nothing_goes_to_a_server_that_was_drained_while_its_connection_came_up() {
-    let (one, two, counter) = (Withheld::new(), Withheld::new(), counter());
+    let (one, two, (counter, answered)) = (Withheld::new(), Withheld::new(), telling_counter());
     let all = [entry("s-0", one.address, "SERVING"), entry("s-1", two.address, "SERVING")];
     let (agent, news) = discovery(list(1, true, &all));
     let stand_in = |address| Server { address, requests: std::sync::mpsc::channel().1 };
@@ -182,7 +193,7 @@
     let mut clients: Vec<Client> = (0..4).map(|_| limiter.client()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
         client.write(&request("once", &format!("moves-{n}"), "team", 20_000));
-        counter.requests.recv_timeout(LONG).expect("a call to the counter");
+        answered.recv_timeout(LONG).expect("a call to the counter");
         turns(&limiter);
     }
     news.send(list(2, false, &[entry("s-0", one.address, "DRAINING")])).expect("it is told");
