Let no request held over a window's edge come on top of a ceiling

Two windows' budgets lie within a ceiling. But a request that has its units and finds no server waits, up to most of its aim, which is about a window there; dispatch() in src/rules.rs then sent it on top of what the next window gave. The bound on all that is out makes such waits longer. A module test shows it: 12 at once where this gateway's part is 8 and a request.

Remedy: under a ceiling, a request that has not been sent by the end of the window in which it was let through waits for units anew. Not proven to be the whole cause: what is spent on credit and on leases is bounded each for itself.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -299,6 +299,7 @@
                 let Some(request) = self.requests.get_mut(&item.id) else { continue };
                 customer.open += 1.0;
                 request.window = if escrowed && !granted { window } else { 0 };
+                request.passed = window;
                 request.stage = Stage::Ready;
                 // The rate of what should go on, not of what does: where all servers count as cold, their
                 // shares would shrink with the sends, and the sends with the shares.
@@ -696,6 +697,7 @@
             customer: key,
             units,
             window: 0,
+            passed: 0,
             arrived: self.now,
             deadline: self.now + left,
             stage: Stage::Waiting,
@@ -711,12 +713,36 @@
     /// Sends what is ready while servers have room.
     fn dispatch(&mut self, out: &mut Vec<Action>) {
         while let Some(&rank) = self.ready.first() {
+            if self.expire(rank.2) {
+                self.ready.remove(&rank);
+                continue;
+            }
             let Some(at) = self.choose(rank.2) else { break };
             self.ready.remove(&rank);
             self.send(rank.2, at, out);
         }
     }
 
+    /// Takes back a request that was let through under a ceiling in a window that has ended, and found no server.
+    /// A ceiling holds two windows' budgets: what is held back must not come on top of them.
+    fn expire(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.attempts.is_empty()) else {
+            return false;
+        };
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
+        let ceiling = self.set.plans[customer.plan].ceiling_rate > 0.0;
+        if !ceiling || customer.window_at(self.now).0 <= request.passed {
+            return false;
+        }
+        request.stage = Stage::Waiting;
+        customer.open -= 1.0;
+        customer.store.level += request.units;
+        let (units, since) = (request.units, self.now);
+        customer.waiting.push_back(Waiting { id, peer: None, units, since });
+        self.holding.insert(request.customer);
+        true
+    }
+
     fn send(&mut self, id: RequestId, at: ServerId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(server) = self.servers[at].as_mut() else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,7 +155,9 @@
     pub class: usize,
     pub customer: u64,
     pub units: f64,
+    /// The window whose escrow it took, if any, and the one in which it was let through.
     pub window: u64,
+    pub passed: u64,
     pub arrived: Micros,
     pub deadline: Micros,
     pub stage: Stage,
--- a/tests/ceiling.rs
+++ b/tests/ceiling.rs
@@ -85,3 +85,22 @@
     }
     assert!(fleet.sent() >= 45, "{} in 15 s at four a second", fleet.sent());
 }
+
+#[test]
+fn requests_held_over_window_edges_do_not_come_on_top_of_the_next_windows() {
+    let mut set = settings();
+    set.classes[0].aim = 8 * S;
+    let mut host = Host::new(set, 1);
+    // Three windows go by while no server takes anything.
+    host.list(ListKind::Delta, vec![Entry { state: Lifecycle::Draining, ..entry(0) }]);
+    for id in 0..60 {
+        host.ask(id, 0, 1, 8 * S);
+        host.wait(50 * MS);
+    }
+    let fleet = (0..30).map(|n| Entry { started: 1, ..entry(n) }).collect();
+    host.list(ListKind::Full, fleet);
+    host.wait(20 * MS);
+    let at_once = host.sends.len();
+    // This gateway's half of the ceiling's burst of sixteen, and a request.
+    assert!(at_once <= 9, "{at_once} at once");
+}
