--- a/src/rules.rs
+++ b/src/rules.rs
@@ -723,7 +723,7 @@
         }
     }
 
-    /// Takes back a request that was let through under a ceiling in a window that has ended, and found no server.
+    /// Takes back a request let through under a ceiling in a window that has ended, if it found no server.
     /// A ceiling holds two windows' budgets: what is held back must not come on top of them.
     fn expire(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.attempts.is_empty()) else {
