Name things by the field's standard terms, and keep unit tests in test files

Private words give way: doors are the spread (the protocol's own word), aims are service-level objectives (slo), a suspect server is ejected and one under trial half-open, as outlier detection has it, a cold one is in slow start, a further attempt is a retry. Code only: no event leads to another action.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -213,7 +213,7 @@
             }
             Err(e) => {
                 // Out of descriptors: idle ones go, and trying again at once would only spin.
-                core.seldom.warn(format_args!("accepting: {e}"));
+                core.log_limiter.warn(format_args!("accepting: {e}"));
                 core.pools.prune();
                 sleep(ACCEPT_WAIT).await;
             }
@@ -493,7 +493,7 @@
     let left = left.filter(|ms| (1..=DEADLINE_MOST_MS).contains(ms));
     let left = left.ok_or(Reject(400, "Req-Deadline-Ms is missing, no whole number or out of range\n"))?;
     let info = text(header("quota-info")?).and_then(|info| quota_info(setup, info));
-    let (units, doors, first) = info.ok_or(Reject(400, "Quota-Info is missing or not valid\n"))?;
+    let (units, spread, first) = info.ok_or(Reject(400, "Quota-Info is missing or not valid\n"))?;
     let mut forward = Vec::with_capacity(head.len + 64);
     forward.extend_from_slice(method);
     forward.push(b' ');
@@ -508,7 +508,7 @@
         customer: customer.to_ascii_lowercase(),
         left: left * 1_000,
         units,
-        doors,
+        spread,
         first,
     };
     Ok(Ask::Demand(id.to_vec(), demand, Forward { head: forward, body }))
@@ -519,7 +519,7 @@
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
-/// Units, doors and the first door, each given once and within its bounds.
+/// Units, spread and the first gateway, each given once and within its bounds.
 fn quota_info(setup: &Setup, info: &str) -> Option<(f64, u32, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for pair in info.split(',') {
--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -71,7 +71,7 @@
 impl Places {
     /// Reads the whole configuration again. The environment cannot change while the program runs, so what the
     /// file newly says of discovery goes before it; what it said already does not.
-    pub fn again(self, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    pub fn reread(self, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let read = Config::load(env)?.places;
         let discovery = match read.file {
             Some(file) if read.file != self.file => file,
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -104,12 +104,12 @@
 /// Warns once a second at most: whoever reads standard error may read slowly, and a full pipe would hold up the
 /// one thread.
 #[derive(Default)]
-pub struct Seldom {
+pub struct LogLimiter {
     last: Cell<Option<Instant>>,
     left_out: Cell<u64>,
 }
 
-impl Seldom {
+impl LogLimiter {
     /// Warns, or counts what is left out.
     pub fn warn(&self, text: fmt::Arguments) {
         if self.last.get().is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
@@ -145,7 +145,7 @@
     /// When that was.
     told: Cell<Micros>,
     /// For what could be told with each request.
-    pub seldom: Seldom,
+    pub log_limiter: LogLimiter,
     state: RefCell<State>,
     timer: Notify,
 }
@@ -171,7 +171,7 @@
             ready: Cell::new(false),
             draining: Cell::new(false),
             told: Cell::new(0),
-            seldom: Seldom::default(),
+            log_limiter: LogLimiter::default(),
             state: RefCell::new(State {
                 gateway,
                 events: VecDeque::new(),
@@ -274,7 +274,7 @@
         let now = self.clock.now();
         let allow = &self.config.setup.settings.permissions;
         let moot = |number: usize, closed: bool| {
-            self.seldom.warn(format_args!(
+            self.log_limiter.warn(format_args!(
                 "attempt {number} of request {id} is not sent: the request is over or the site forbids it"
             ));
             Event::Outcome(Outcome {
@@ -348,7 +348,7 @@
         if state.take_reply(id).is_none() {
             return;
         }
-        state.tidy(id);
+        state.reap(id);
         state.events.push_back(Event::Gone { id });
         self.run(&mut state);
     }
@@ -378,7 +378,7 @@
             }
         }
         let closed = state.open.get(&id).is_none_or(|o| o.reply.is_none());
-        state.tidy(id);
+        state.reap(id);
         let outcome = Outcome { id, attempt: number, server, status, latency, closed, load };
         state.events.push_back(Event::Outcome(outcome));
         self.run(state);
@@ -461,7 +461,7 @@
         if stopped {
             return self.set(state, now + GUARD_WAIT, Due::Guard(id));
         }
-        self.seldom.warn(format_args!("request {id} ends at its deadline without the module's answer"));
+        self.log_limiter.warn(format_args!("request {id} ends at its deadline without the module's answer"));
         state.answer(id, Answer::Overdue);
         state.events.push_back(Event::Gone { id });
         self.run(state);
@@ -473,7 +473,7 @@
         if let Some(reply) = self.take_reply(id) {
             let _ = reply.send(answer);
         }
-        self.tidy(id);
+        self.reap(id);
     }
 
     /// The way to the client, once; from then on the request's id is free.
@@ -485,7 +485,7 @@
     }
 
     /// Forgets a request that is answered and has nothing out.
-    fn tidy(&mut self, id: RequestId) {
+    fn reap(&mut self, id: RequestId) {
         let done = |o: &Open| o.reply.is_none() && o.attempts.iter().all(|a| !a.out);
         if self.open.get(&id).is_some_and(done) {
             self.open.remove(&id);
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -130,7 +130,7 @@
 
 /// Takes in the file anew; one that cannot be used changes nothing.
 fn reload(core: &Core) {
-    match core.places.get().again(env) {
+    match core.places.get().reread(env) {
         Ok(places) => {
             log::warn!("reloaded: discovery {}, counter {:?}", places.discovery, places.counter);
             core.move_to(places);
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -459,7 +459,7 @@
         Some(Err(address)) => match timeout(pools.dial_timeout, Conn::open(address, &pools.count)).await {
             Ok(Ok(conn)) => conn,
             Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
-                core.seldom.warn(format_args!("no connection to server {}: {e}", start.server));
+                core.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
                 return Status::Moot.into();
             }
             Ok(Err(e)) => {
@@ -551,19 +551,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_load_report_is_read_as_far_as_it_can_be() {
-        let read = load(b"served_ps=7.2, busy_reqs=2,cpu_share=0.74,new=1");
-        let whole = Load { inflight: Some(2.0), util: Some(0.74), qps: Some(7.2), latency_ms: None };
-        assert_eq!(read, whole);
-        for spoilt in
-            [&b"busy_reqs"[..], b"busy_reqs=", b"busy_reqs=-1", b"busy_reqs=NaN", b"\xff=1", b",,=,=="]
-        {
-            assert_eq!(load(spoilt), Load::default());
-        }
-        assert_eq!(load(b"x,busy_reqs=3").inflight, Some(3.0));
-    }
-}
+#[path = "../tests/unit/servers.rs"]
+mod tests;
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -161,7 +161,7 @@
                 customer: w.word("member")?.to_owned(),
                 left: w.value("budget")?,
                 units: w.number("units")?,
-                doors: w.value_or("doors", 1)?,
+                spread: w.value_or("doors", 1)?,
                 first: w.value_or("set-from", 0)?,
             }),
             "BELL" => Event::Timer { token: w.value("tag")? },
--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -92,7 +92,7 @@
     for me in 0..9 {
         input += &format!("BEGIN limiter-{me} 7 {}\nFLEET limiter-{me} 2 1 0\n", setup(me));
     }
-    // One of nine is the home of this customer; at the first or the second of these doors it is asked for.
+    // One of nine is the home of this customer; at the first or the second of these gateways it is asked for.
     input += "OVER_TO_YOU\nBEGIN_BATCH 5000\n";
     for me in 0..2 {
         input += &format!("DEMAND limiter-{me} {} read basic u:1 1000000 1 9 0 0 0\n", me + 20);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,8 +34,8 @@
 /// A class of requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Class {
-    /// An answer within this time earns full worth.
-    pub aim: Micros,
+    /// Service-level objective: an answer within this time earns full worth.
+    pub slo: Micros,
     /// What a repeat does.
     pub effect: Effect,
     /// Who drops repeats of a keyed request.
@@ -237,7 +237,7 @@
     /// Units it counts.
     pub units: f64,
     /// Gateways through which the customer's requests may come.
-    pub doors: u32,
+    pub spread: u32,
     /// Number of the first of them; the others follow it, counted round.
     pub first: u32,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //!
 //! let settings = Settings {
 //!     gateways: 1, me: 0, zone: 0, round: 1_000, ask: false, max_units: 1.0,
-//!     classes: vec![Class { aim: 500_000, effect: Effect::Safe, scope: Scope::All, window: 0, worth: 1.0 }],
+//!     classes: vec![Class { slo: 500_000, effect: Effect::Safe, scope: Scope::All, window: 0, worth: 1.0 }],
 //!     plans: vec![Plan {
 //!         rate: 2.0, burst: 4.0, open: 0.0, price: 1.0, ceiling_rate: 0.0, ceiling_burst: 0.0,
 //!     }],
@@ -28,7 +28,7 @@
 //! let entry = Entry { server: 0, zone: 0, cell: 0, state: Lifecycle::Ready, weight: 1.0, started: 0 };
 //! gateway.handle(0, Event::Servers { kind: ListKind::Full, entries: vec![entry] }, &mut actions);
 //! let request = Event::Request(Demand {
-//!     id: 1, class: 0, plan: 0, customer: "choir".into(), left: 2_000_000, units: 1.0, doors: 1, first: 0,
+//!     id: 1, class: 0, plan: 0, customer: "choir".into(), left: 2_000_000, units: 1.0, spread: 1, first: 0,
 //! });
 //! gateway.handle(1_000, request, &mut actions);
 //! // The first request leases a unit from the customer's window count ...
--- a/src/reports.rs
+++ b/src/reports.rs
@@ -99,5 +99,5 @@
 }
 
 #[cfg(test)]
-#[path = "reports_tests.rs"]
+#[path = "../tests/unit/reports.rs"]
 mod tests;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Time between two sweeps while anything is held, in microseconds: fine beside aims of some 100 ms.
+/// Time between two sweeps while anything is held, in microseconds: fine beside objectives of some 100 ms.
 const SWEEP: Micros = 10_000;
 /// Difference of two totals, in units, that proves nothing: totals are exact to seven digits.
 const ROUNDING: f64 = 0.01;
@@ -42,7 +42,7 @@
 const SHARED_FOR: Micros = 60_000_000;
 /// Share of the ceiling's burst that a window's budget may take: two windows can be spent back to back.
 const CEILING_WINDOW: f64 = 0.5;
-/// Share of its aim that a request waits for the counter or the ceiling before it is refused.
+/// Share of its objective that a request waits for the counter or the ceiling before it is refused.
 const PATIENCE: f64 = 0.4;
 /// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
 const HOME_WAIT: Micros = 150_000;
@@ -50,7 +50,7 @@
 const HOME_ABSENT: Micros = 1_000_000;
 /// Questions in a row without an answer after which a home is absent: one message in ten may be lost.
 const HOME_MISSES: u32 = 2;
-/// Share of a window's budget that a home leases at once: it spends for all doors, so little is forfeit.
+/// Share of a window's budget that a home leases at once: it spends for all gateways, so little is forfeit.
 const HOME_LEASE: f64 = 0.5;
 /// Even split of a window's budget, in units, below which a home leases: single units are not worth a call.
 const HOME_SPLIT: f64 = 2.0;
@@ -60,21 +60,21 @@
 const LIMIT_FIRST: f64 = 8.0;
 /// Share of the first limit below which a limit is never cut: slow answers at so little are not our queue.
 const LIMIT_LEAST: f64 = 0.5;
-/// Share of the aim that a server's mean latency may take before its limit falls: the tail is many times it.
+/// Share of the objective that a mean latency may take before a limit falls: the tail is many times it.
 const BUSY: f64 = 0.2;
 /// Factor on a limit when it proves too much, at most.
 const CUT: f64 = 0.9;
-/// Share of the aim between two cuts of a limit: what was sent before the last cut has its say first.
+/// Share of the objective between two cuts of a limit: what was sent before the last cut has its say first.
 const CUT_EVERY: f64 = 0.25;
-/// Share of the aim for the mean over all servers: few answers, of uneven work, make it up.
+/// Share of the objective for the mean over all servers: few answers, of uneven work, make it up.
 const ROOM_BUSY: f64 = 0.3;
 /// Growth of the bound on all that is out, in requests, with each fast answer while it is used.
 const ROOM_GROW: f64 = 0.25;
 /// Mean latencies without any answer after which a server counts as silent: base, and per request out.
 const SILENCE: (f64, f64) = (2.0, 6.0);
-/// Time for which a suspect server gets nothing, in microseconds: at first, and at most after doubling.
+/// Time for which an ejected server gets nothing, in microseconds: at first, and at most after doubling.
 const EJECT: (Micros, Micros) = (1_000_000, 8_000_000);
-/// Failures in a row that make a server suspect.
+/// Failures in a row that eject a server.
 const FAILURES: u32 = 3;
 /// Factor on the cost of a cold server that may be sent to.
 const COLD_FIRST: f64 = 0.25;
@@ -91,7 +91,7 @@
 const RETRIES: (f64, f64) = (0.1, 10.0);
 /// Time constant of the rate of sends, in microseconds.
 const RATE_SPAN: f64 = 2_000_000.0;
-/// Mean latency before anything is known, as a share of the aim.
+/// Mean latency before anything is known, as a share of the objective.
 const LATENCY_FIRST: f64 = 0.2;
 /// Sweeps left before the deadline when the final answer is given.
 const MARGIN: u64 = 2;
@@ -121,7 +121,7 @@
     alarms: BTreeSet<(Micros, RequestId)>,
     latency: Vec<f64>,
     fleet: Fleet,
-    /// Bound on all that is out, mean latency over the aim, and the last cut of the bound.
+    /// Bound on all that is out, mean latency over the objective, and the last cut of the bound.
     room: f64,
     busy: f64,
     cut_at: Micros,
@@ -134,7 +134,7 @@
 impl Gateway {
     /// A gateway that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let latency = settings.classes.iter().map(|c| c.aim as f64 * LATENCY_FIRST).collect();
+        let latency = settings.classes.iter().map(|c| c.slo as f64 * LATENCY_FIRST).collect();
         let fleet = settings.counter.as_ref().map_or(0.0, |_| PACE_FIRST);
         let pace = fleet / f64::from(settings.gateways.max(1));
         // A part of one call by chance, so that hundreds of gateways do not all call at the start.
@@ -259,7 +259,7 @@
             let (units, remote) = (item.units, item.peer.is_some());
             let held = customer.held(window);
             let granted = !remote && customer.granted >= units;
-            let open = (plan.open / customer.doors).floor().max(1.0);
+            let open = (plan.open / customer.spread).floor().max(1.0);
             let over_open = !remote && plan.open > 0.0 && customer.open >= open;
             let drained = limited && here && customer.store.level < units;
             let escrowed = held >= units;
@@ -306,7 +306,7 @@
                 let passed = (self.now - self.rate_at) as f64;
                 self.rate = self.rate * (-passed / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
                 self.rate_at = self.now;
-                let patience = request.arrived + self.set.classes[request.class].aim;
+                let patience = request.arrived + self.set.classes[request.class].slo;
                 let alarm = patience.saturating_sub(self.latency[request.class] as u64);
                 set_alarm(&mut self.alarms, request, item.id, alarm);
                 self.ready.insert(request.rank);
@@ -337,11 +337,11 @@
     fn ask(&mut self, key: u64, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(&key) else { return };
         let Some(peer) = customer.home else { return };
-        let (plan, doors) = (customer.plan as u8, customer.doors as u16);
+        let (plan, spread) = (customer.plan as u8, customer.spread as u16);
         let units = (customer.wanted() - customer.granted) as f32;
         customer.asking = Some(self.now + HOME_WAIT);
         self.asks.insert((self.now + HOME_WAIT, key));
-        let message = Message::Ask { customer: key, plan, doors, units };
+        let message = Message::Ask { customer: key, plan, spread, units };
         out.push(Action::Tell { peer, data: message.encode() });
     }
 
@@ -369,11 +369,11 @@
         let (Message::Ask { customer: key, .. }
         | Message::Grant { customer: key, .. }
         | Message::Deny { customer: key, .. }) = message;
-        if let Message::Ask { plan, doors, units, .. } = message {
+        if let Message::Ask { plan, spread, units, .. } = message {
             if usize::from(plan) >= self.set.plans.len() {
                 return;
             }
-            let customer = self.know(key, usize::from(plan), u32::from(doors));
+            let customer = self.know(key, usize::from(plan), u32::from(spread));
             let (units, since, peer) = (f64::from(units), customer.seen, Some(from));
             customer.waiting.push_back(Waiting { id: 0, peer, units, since });
             self.holding.insert(key);
@@ -406,7 +406,7 @@
         let block = if at_home {
             customer.budget * HOME_LEASE
         } else if self.counter.scarce(self.now, f64::from(self.set.gateways.max(1))) {
-            (customer.past - customer.used).clamp(0.0, customer.budget / customer.doors).floor()
+            (customer.past - customer.used).clamp(0.0, customer.budget / customer.spread).floor()
         } else {
             0.0
         };
@@ -496,7 +496,7 @@
                 ready: entry.state == Lifecycle::Ready,
                 weight: entry.weight.max(0.01),
                 started: entry.started,
-                eject: EJECT.0,
+                eject_for: EJECT.0,
                 answered: now,
                 limit: LIMIT_FIRST / gateways,
                 least: LIMIT_FIRST * LIMIT_LEAST / gateways,
@@ -514,7 +514,7 @@
                 // Guards any fresh process, however discovery words it. Since its start where that is told:
                 // the list may come late, and it warms meanwhile.
                 let fresh = entry.started > 0 && (!back || restarted);
-                server.chill(if fresh { entry.started.min(now) } else { now }, now, chance);
+                server.begin_slow_start(if fresh { entry.started.min(now) } else { now }, now, chance);
                 server.reports.clear();
                 if restarted {
                     server.outs.clear();
@@ -523,7 +523,7 @@
             }
         }
         for server in 0..self.servers.len() {
-            self.tidy(server);
+            self.reap(server);
         }
     }
 
@@ -535,7 +535,7 @@
     }
 
     /// Forgets a server that is gone once nothing is out there: ids may be ever new.
-    fn tidy(&mut self, server: ServerId) {
+    fn reap(&mut self, server: ServerId) {
         if let Some(slot) = self.servers.get_mut(server) {
             slot.take_if(|s| s.gone && s.outs.is_empty());
         }
@@ -551,18 +551,18 @@
             let patience = mean * s.slow.clamp(1.0, 3.0) * (SILENCE.0 + SILENCE.1 / s.outs.len() as f64);
             now.saturating_sub(s.answered.max(*oldest)) as f64 > patience
         };
-        let aim = self.set.classes.iter().map(|c| c.aim as f64).sum::<f64>() / classes;
+        let slo = self.set.classes.iter().map(|c| c.slo as f64).sum::<f64>() / classes;
         let live = |s: &Server| s.health == Health::Up && now < s.answered + mean as u64;
         let live = self.servers.iter().flatten().any(live);
         let mut rescued = Vec::new();
         for server in self.servers.iter_mut().flatten() {
-            if live && !matches!(server.health, Health::Suspect(_)) && quiet(server) {
-                server.suspect(now);
+            if live && !matches!(server.health, Health::Ejected(_)) && quiet(server) {
+                server.eject(now);
                 rescued.extend(server.outs.keys().map(|k| k.0));
             }
             // Work that grows old without an answer tells of a jam before any latency does.
             let age: f64 = server.outs.values().map(|sent| (now - sent) as f64).sum();
-            if age > aim * BUSY * server.outs.len() as f64 && now > server.cut_at + (aim * CUT_EVERY) as u64 {
+            if age > slo * BUSY * server.outs.len() as f64 && now > server.cut_at + (slo * CUT_EVERY) as u64 {
                 server.cut(CUT, now);
             }
         }
@@ -600,7 +600,7 @@
         // seconds old by the next request, while answers of all together tell at once that too much is out.
         let bound = if told { self.room } else { limits.min(self.room) };
         let full = outs >= bound.max(1.0);
-        let trial = class.effect != Effect::Unsafe && request.attempts.is_empty();
+        let half_open = class.effect != Effect::Unsafe && request.attempts.is_empty();
         let same = |server: &Server| match (class.effect, class.scope, group) {
             (Effect::Keyed, Scope::Zone, Some((zone, _))) => zone == server.zone,
             (Effect::Keyed, Scope::Cell, Some((_, cell))) => cell == server.cell,
@@ -613,13 +613,13 @@
             if !server.ready || tried || !same(server) {
                 continue;
             }
-            server.warm(&self.set.rules, now, share);
+            server.fill_slow_start(&self.set.rules, now, share);
             let mine = server.outs.len() as f64;
             let jammed = server.reports.backlog(&self.fleet, now) > TOLD_MOST;
             let cost = match server.health {
-                // One safe or keyed request at a time tries a suspect out.
-                Health::Suspect(until) if trial && now >= until => -1.0,
-                Health::Suspect(_) | Health::Trial => continue,
+                // One safe or keyed request at a time tests an ejected server.
+                Health::Ejected(until) if half_open && now >= until => -1.0,
+                Health::Ejected(_) | Health::HalfOpen => continue,
                 Health::Up if full || jammed || mine >= server.limit.ceil() => continue,
                 Health::Up => (mine + 1.0) * server.slow / server.weight,
             };
@@ -644,8 +644,8 @@
 
     // ---- Attempts.
 
-    /// The customer of this key, with what its plan and its doors make of it.
-    fn know(&mut self, key: u64, plan: usize, doors: u32) -> &mut Customer {
+    /// The customer of this key, with what its plan and its gateways make of it.
+    fn know(&mut self, key: u64, plan: usize, spread: u32) -> &mut Customer {
         let (now, born, max_units) = (self.now, self.born, self.set.max_units);
         let peers = self.set.permissions.peers;
         let (p, forget) = (&self.set.plans[plan], &mut self.forget);
@@ -673,17 +673,17 @@
                 ..Customer::default()
             }
         });
-        known.doors = f64::from(doors.max(1));
-        known.pooled = peers && p.ceiling_rate <= 0.0 && known.budget / known.doors < HOME_SPLIT;
+        known.spread = f64::from(spread.max(1));
+        known.pooled = peers && p.ceiling_rate <= 0.0 && known.budget / known.spread < HOME_SPLIT;
         known.seen = now;
         known
     }
 
     fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
-        let Demand { id, class, plan, customer, left, units, doors, first } = demand;
+        let Demand { id, class, plan, customer, left, units, spread, first } = demand;
         let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
-        let home = (u64::from(first) + key % u64::from(doors.max(1))) % u64::from(self.set.gateways.max(1));
-        let known = self.know(key, plan, doors);
+        let home = (u64::from(first) + key % u64::from(spread.max(1))) % u64::from(self.set.gateways.max(1));
+        let known = self.know(key, plan, spread);
         known.home = (known.pooled && home as u32 != me).then_some(home as u32);
         let since = known.seen;
         known.units = units;
@@ -691,7 +691,7 @@
         self.holding.insert(key);
         self.arrivals += 1;
         let worth = (self.set.classes[class].worth * 1_000.0) as u64;
-        let aim = self.set.classes[class].aim.min(left);
+        let slo = self.set.classes[class].slo.min(left);
         let mut request = Request {
             class,
             customer: key,
@@ -705,7 +705,7 @@
             alarm: 0,
             attempts: Vec::new(),
         };
-        set_alarm(&mut self.alarms, &mut request, id, self.now + (aim as f64 * PATIENCE) as u64);
+        set_alarm(&mut self.alarms, &mut request, id, self.now + (slo as f64 * PATIENCE) as u64);
         self.requests.insert(id, request);
         self.settle(key, out);
     }
@@ -749,8 +749,8 @@
         if request.attempts.is_empty() {
             self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         }
-        if matches!(server.health, Health::Suspect(_)) {
-            server.health = Health::Trial;
+        if matches!(server.health, Health::Ejected(_)) {
+            server.health = Health::HalfOpen;
         }
         if server.cold_since.is_some() {
             server.tokens.level -= 1.0;
@@ -774,10 +774,10 @@
             self.fleet.take(&mut server.reports, &load, now);
             if matches!(status, Status::Ok | Status::Error | Status::Full) {
                 server.answered = now;
-                server.eject = EJECT.0;
+                server.eject_for = EJECT.0;
                 // Cold again only after signs of a restart: one connection that fell silent is none.
-                if server.health == Health::Trial && server.broke {
-                    server.chill(now, now, chance);
+                if server.health == Health::HalfOpen && server.broke {
+                    server.begin_slow_start(now, now, chance);
                 }
                 server.broke = false;
                 server.health = Health::Up;
@@ -790,28 +790,28 @@
                 Status::Reset | Status::Error | Status::ConnectFailed | Status::Timeout => {
                     server.failures += 1;
                     server.broke |= status == Status::ConnectFailed;
-                    if server.failures >= FAILURES || server.health == Health::Trial {
-                        server.suspect(now);
+                    if server.failures >= FAILURES || server.health == Health::HalfOpen {
+                        server.eject(now);
                     }
                 }
-                // A trial that ended without an answer, or was never made, proves nothing: suspect as before.
-                Status::Cancelled | Status::Moot if server.health == Health::Trial => server.suspect(now),
+                // A half-open test without an answer, or that was never made, proves nothing.
+                Status::Cancelled | Status::Moot if server.health == Health::HalfOpen => server.eject(now),
                 Status::Full | Status::Cancelled | Status::Moot => {}
             }
             if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
-                let (aim, took) = (self.set.classes[class].aim.max(1) as f64, latency as f64);
+                let (slo, took) = (self.set.classes[class].slo.max(1) as f64, latency as f64);
                 let least = server.least * usable;
-                server.busy += LEARN * (took / aim - server.busy);
+                server.busy += LEARN * (took / slo - server.busy);
                 server.slow += LEARN * ((took / self.latency[class].max(1.0)).min(10.0) - server.slow);
                 self.latency[class] += LEARN / 5.0 * (took - self.latency[class]);
-                if server.busy > BUSY && now > server.cut_at + (aim * CUT_EVERY) as u64 {
+                if server.busy > BUSY && now > server.cut_at + (slo * CUT_EVERY) as u64 {
                     server.cut(BUSY / server.busy, now);
                 } else if server.busy < BUSY && server.outs.len() as f64 + 1.0 >= server.limit * 0.75 {
                     server.limit += server.least / 2.0 / server.limit;
                 }
                 // The same over all servers: one of many gateways hears too little of each to bound it alone.
-                self.busy += LEARN * (took / aim - self.busy);
-                if self.busy > ROOM_BUSY && now > self.cut_at + (aim * CUT_EVERY) as u64 {
+                self.busy += LEARN * (took / slo - self.busy);
+                if self.busy > ROOM_BUSY && now > self.cut_at + (slo * CUT_EVERY) as u64 {
                     self.room = self.room.min(outs) * (ROOM_BUSY / self.busy).clamp(0.5, CUT);
                     self.room = self.room.max(least);
                     self.cut_at = now;
@@ -820,7 +820,7 @@
                 }
             }
         }
-        self.tidy(at);
+        self.reap(at);
         if closed {
             return self.close(id, out);
         }
@@ -832,7 +832,7 @@
         let proven = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
         attempt.fate = if proven { Fate::NeverRan } else { Fate::MayHaveRun };
         if request.attempts.iter().all(|a| a.fate != Fate::Out) {
-            self.again(id, proven, out);
+            self.retry(id, proven, out);
         }
     }
 
@@ -854,7 +854,7 @@
     }
 
     /// Sends a further attempt where class, site and retry budget allow; ends the request where none is left.
-    fn again(&mut self, id: RequestId, proven: bool, out: &mut Vec<Action>) {
+    fn retry(&mut self, id: RequestId, proven: bool, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let (class, allow) = (&self.set.classes[request.class], &self.set.permissions);
         let out_now = request.attempts.iter().any(|a| a.fate == Fate::Out);
@@ -885,7 +885,7 @@
         } else if request.stage != Stage::Sent || self.now + MARGIN * SWEEP >= request.deadline {
             return self.finish(id, out);
         }
-        // An attempt sits at a suspect server: move on, with a copy or by withdrawing it first.
+        // An attempt sits at an ejected server: move on, with a copy or by withdrawing it first.
         set_alarm(&mut self.alarms, request, id, request.deadline - MARGIN * SWEEP);
         let stuck = request.attempts.iter().enumerate().find(|(_, a)| {
             let server = self.servers[a.server].as_ref();
@@ -894,7 +894,7 @@
         let Some((number, _)) = stuck else { return };
         let safe = self.set.classes[request.class].effect != Effect::Unsafe;
         if self.set.permissions.second_copies {
-            self.again(id, false, out);
+            self.retry(id, false, out);
         } else if safe && self.set.permissions.cancel && self.retries >= 1.0 {
             request.attempts[number].cancelled = true;
             out.push(Action::Cancel { id, attempt: number as u32 });
@@ -971,11 +971,11 @@
     /// gateways, so leased units need no share: two windows' budgets are within the ceiling wherever they are
     /// spent, for as long as the counter is seen to add up what all lease.
     fn fill(&mut self, plan: &Plan, now: Micros) {
-        // A home spends for all doors: its split of the store is the whole.
-        let split = if self.pooled && self.home.is_none() { 1.0 } else { 1.0 / self.doors };
+        // A home spends for all gateways: its split of the store is the whole.
+        let split = if self.pooled && self.home.is_none() { 1.0 } else { 1.0 / self.spread };
         self.store.fill(plan.rate, plan.burst.max(self.units), now);
         self.split.fill(plan.rate * split, (plan.burst * split).max(self.units), now);
-        self.ceiling.fill(plan.ceiling_rate / self.doors, plan.ceiling_burst / self.doors, now);
+        self.ceiling.fill(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread, now);
     }
 }
 
@@ -1028,9 +1028,9 @@
 }
 
 impl Server {
-    fn suspect(&mut self, now: Micros) {
-        self.health = Health::Suspect(now + self.eject);
-        self.eject = (self.eject * 2).min(EJECT.1);
+    fn eject(&mut self, now: Micros) {
+        self.health = Health::Ejected(now + self.eject_for);
+        self.eject_for = (self.eject_for * 2).min(EJECT.1);
         self.failures = 0;
     }
 
@@ -1043,13 +1043,13 @@
 
     /// Counts as cold since a time. A part of a first token by chance: hundreds of gateways that all start at
     /// nought would all send at one moment, or none before it is warm.
-    fn chill(&mut self, since: Micros, now: Micros, chance: u64) {
+    fn begin_slow_start(&mut self, since: Micros, now: Micros, chance: u64) {
         self.cold_since = Some(since);
         self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
     }
 
     /// Fills this gateway's share of a cold server's fall budget, until it is warm.
-    fn warm(&mut self, rules: &Rules, now: Micros, rate: f64) {
+    fn fill_slow_start(&mut self, rules: &Rules, now: Micros, rate: f64) {
         let Some(since) = self.cold_since else { return };
         if now >= since + rules.cold {
             self.cold_since = None;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -82,7 +82,7 @@
         "cell" => Scope::Cell,
         _ => Scope::All,
     };
-    Ok(Class { aim: time(v, "goal-time"), effect, scope, window: time(v, "window"), worth: num(v, "worth") })
+    Ok(Class { slo: time(v, "goal-time"), effect, scope, window: time(v, "window"), worth: num(v, "worth") })
 }
 
 impl Setup {
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,7 +36,7 @@
 #[derive(Default)]
 pub(crate) struct Customer {
     pub plan: usize,
-    pub doors: f64,
+    pub spread: f64,
     /// One of them leases for all; which one, unless it is this gateway.
     pub pooled: bool,
     pub home: Option<u32>,
@@ -170,8 +170,8 @@
 pub(crate) enum Health {
     #[default]
     Up,
-    Suspect(Micros),
-    Trial,
+    Ejected(Micros),
+    HalfOpen,
 }
 
 #[derive(Default)]
@@ -184,7 +184,7 @@
     pub weight: f64,
     pub started: Micros,
     pub health: Health,
-    pub eject: Micros,
+    pub eject_for: Micros,
     pub failures: u32,
     /// It refused or broke a connection since its last answer: it may have restarted.
     pub broke: bool,
@@ -204,7 +204,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Message {
     /// Asks the customer's home for units.
-    Ask { customer: u64, plan: u8, doors: u16, units: f32 },
+    Ask { customer: u64, plan: u8, spread: u16, units: f32 },
     /// Units leased on to the gateway that asked.
     Grant { customer: u64, units: f32 },
     /// Nothing is left for this time.
@@ -215,10 +215,10 @@
     /// The bytes of a message: its kind, the customer, and what follows.
     pub fn encode(self) -> Vec<u8> {
         let (kind, customer, rest) = match self {
-            Message::Ask { customer, plan, doors, units } => {
+            Message::Ask { customer, plan, spread, units } => {
                 let mut rest = units.to_le_bytes().to_vec();
                 rest.push(plan);
-                rest.extend(doors.to_le_bytes());
+                rest.extend(spread.to_le_bytes());
                 (0, customer, rest)
             }
             Message::Grant { customer, units } => (1, customer, units.to_le_bytes().to_vec()),
@@ -238,8 +238,8 @@
         let sound = units.is_finite() && units > 0.0;
         match (bytes[0], bytes.len()) {
             (0, 16) if sound => {
-                let doors = u16::from_le_bytes([bytes[14], bytes[15]]);
-                Some(Message::Ask { customer, plan: bytes[13], doors, units })
+                let spread = u16::from_le_bytes([bytes[14], bytes[15]]);
+                Some(Message::Ask { customer, plan: bytes[13], spread, units })
             }
             (1, 13) if sound => Some(Message::Grant { customer, units }),
             (2, 13) => Some(Message::Deny { customer, wait: u32::from_le_bytes(figure) }),
--- a/tests/ceiling.rs
+++ b/tests/ceiling.rs
@@ -25,9 +25,9 @@
 
     fn ask(&mut self, at: usize, customer: &str) {
         self.next += 1;
-        let doors = self.hosts.len() as u32;
+        let spread = self.hosts.len() as u32;
         let (id, customer) = (self.next, customer.to_owned());
-        let demand = Demand { id, class: 0, plan: 1, customer, left: S, units: 1.0, doors, first: 0 };
+        let demand = Demand { id, class: 0, plan: 1, customer, left: S, units: 1.0, spread, first: 0 };
         self.turn(at, |host| host.give(Event::Request(demand)));
     }
 
@@ -49,9 +49,9 @@
 }
 
 #[test]
-fn a_customer_that_comes_to_one_of_its_doors_has_its_whole_quota() {
+fn a_customer_that_comes_to_one_of_its_gateways_has_its_whole_quota() {
     let mut fleet = Fleet::new(8);
-    // Another customer comes in at all doors by turns: its totals show that the counter is shared.
+    // Another customer comes in at all gateways by turns: its totals show that the counter is shared.
     for second in 0..20 {
         for at in [1 + second % 7, 0] {
             fleet.ask(at, "band");
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn with_a_shared_counter_all_doors_together_stay_under_the_ceiling() {
+fn with_a_shared_counter_all_gateways_together_stay_under_the_ceiling() {
     let mut fleet = Fleet::new(8);
     let start = fleet.hosts[0].now;
     for step in 0..1_500u64 {
@@ -89,7 +89,7 @@
 #[test]
 fn requests_held_over_window_edges_do_not_come_on_top_of_the_next_windows() {
     let mut set = settings();
-    set.classes[0].aim = 8 * S;
+    set.classes[0].slo = 8 * S;
     let mut host = Host::new(set, 1);
     // Three windows go by while no server takes anything.
     host.list(ListKind::Delta, vec![Entry { state: Lifecycle::Draining, ..entry(0) }]);
--- a/tests/combinations.rs
+++ b/tests/combinations.rs
@@ -24,7 +24,7 @@
                 customer,
                 left,
                 units: 1.0,
-                doors: 2,
+                spread: 2,
                 first: 0,
             }));
         }
@@ -115,7 +115,7 @@
         host.wait(20 * MS);
         out.extend(host.sends[seen..].iter().filter(|s| s.3 >= 2));
         seen = host.sends.len();
-        // Four servers take half of the aim for everything; the first two take work and answer nothing.
+        // Four servers take half of the objective for everything; the first two take work and answer nothing.
         while out.first().is_some_and(|o| o.0 + 500 * MS <= host.now) {
             let (_, id, attempt, server) = out.remove(0);
             let (status, latency, load) = (Status::Ok, 500 * MS, Load::default());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,7 @@
 pub const S: Micros = 1_000_000;
 
 pub fn class(effect: Effect, scope: Scope) -> Class {
-    Class { aim: S, effect, scope, window: 4 * S, worth: 1.0 }
+    Class { slo: S, effect, scope, window: 4 * S, worth: 1.0 }
 }
 
 pub fn plan(rate: f64, burst: f64) -> Plan {
@@ -151,7 +151,16 @@
 
     pub fn ask(&mut self, id: RequestId, class: usize, plan: usize, left: Micros) {
         let customer = "choir".to_owned();
-        self.give(Event::Request(Demand { id, class, plan, customer, left, units: 1.0, doors: 2, first: 0 }));
+        self.give(Event::Request(Demand {
+            id,
+            class,
+            plan,
+            customer,
+            left,
+            units: 1.0,
+            spread: 2,
+            first: 0,
+        }));
     }
 
     pub fn done(&mut self, id: RequestId, attempt: u32, server: ServerId, status: Status) {
--- a/tests/escrow.rs
+++ b/tests/escrow.rs
@@ -85,7 +85,7 @@
             host.ask(1_000 + start + id, 0, 0, 4 * S);
             host.wait(50 * MS);
         }
-        // Ten seconds at two units a second, the even split between two doors, and its burst of four.
+        // Ten seconds at two units a second, the even split between two gateways, and its burst of four.
         let sent = total_sent(&host) - before;
         assert!(sent >= 8, "served from the split: {sent}");
         assert!(sent <= 25, "no more than the split: {sent}");
@@ -134,10 +134,19 @@
         for n in 0..200 {
             let host = &mut hosts[(n + step as usize * 7) % 200];
             if (step + n as u64).is_multiple_of(20) {
-                let (customer, units, doors) = (format!("club{}", step % 90), 1.0, 50);
+                let (customer, units, spread) = (format!("club{}", step % 90), 1.0, 50);
                 let id = step;
                 let (class, plan, left) = (0, 0, S);
-                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first: 0 }));
+                host.give(Event::Request(Demand {
+                    id,
+                    class,
+                    plan,
+                    customer,
+                    left,
+                    units,
+                    spread,
+                    first: 0,
+                }));
             }
             let before = host.calls.len();
             host.mode = if room > 0 { CounterMode::Answers } else { CounterMode::Silent };
@@ -183,8 +192,8 @@
     (host.mode, host.serve) = (CounterMode::Silent, (0..4).collect());
     for id in 0..2_000 {
         let customer = format!("choir {}", id % 29);
-        let (class, plan, left, units, doors, first) = (0, 0, 4 * S, 1.0, 2, 0);
-        host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+        let (class, plan, left, units, spread, first) = (0, 0, 4 * S, 1.0, 2, 0);
+        host.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
         host.wait(10 * MS);
     }
     let late = host.now - 10 * S;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,9 +11,9 @@
     set
 }
 
-fn ask_of(host: &mut Host, id: RequestId, doors: u32) {
+fn ask_of(host: &mut Host, id: RequestId, spread: u32) {
     let (customer, class, plan, left, units, first) = ("choir".to_owned(), 0, 0, 4 * S, 1.0, 0);
-    host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+    host.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
 }
 
 fn told(host: &Host) -> Vec<(u32, Vec<u8>)> {
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn a_home_leases_for_all_doors_and_keeps_their_sum_inside_the_quota() {
+fn a_home_leases_for_all_gateways_and_keeps_their_sum_inside_the_quota() {
     let mut hosts = fleet(40);
     play(&mut hosts, 1_000, true, |step, hosts| {
         // Ten requests a second, over twice the quota, each through another door.
@@ -211,7 +211,7 @@
         out.extend_from_slice(&host.sends[seen..]);
         seen = host.sends.len();
         most = if id >= 1_000 { most.max(out.len()) } else { 0 };
-        // Every answer takes 0.9 of the aim, each from another server than the last.
+        // Every answer takes 0.9 of the objective, each from another server than the last.
         while out.first().is_some_and(|o: &(Micros, u64, u32, usize)| o.0 + 900 * MS <= host.now) {
             let (_, id, attempt, server) = out.remove(0);
             let (status, latency, load) = (Status::Ok, 900 * MS, Load::default());
@@ -227,8 +227,8 @@
     host.serve = (0..4).collect();
     for id in 0..5_000 {
         let customer = format!("club{id}");
-        let (class, plan, left, units, doors, first) = (0, 0, S, 1.0, 2, 0);
-        host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+        let (class, plan, left, units, spread, first) = (0, 0, S, 1.0, 2, 0);
+        host.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
         host.wait(2 * MS);
     }
     host.wait(5 * S);
@@ -242,7 +242,7 @@
 }
 
 #[test]
-fn the_ceiling_holds_over_all_doors_whatever_the_counter_does_and_whoever_restarts() {
+fn the_ceiling_holds_over_all_gateways_whatever_the_counter_does_and_whoever_restarts() {
     for seed in [3u64, 58, 901] {
         let fresh = |n: u64| {
             let mut host = Host::seeded(Settings { gateways: 300, ..settings() }, 4, seed * 97 + n);
@@ -259,8 +259,8 @@
                     host.counts.clear();
                 }
                 let (customer, class, plan, left, units) = ("choir".to_owned(), 0, 1, S, 1.0);
-                let (id, doors, first) = (step, 8, 0);
-                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+                let (id, spread, first) = (step, 8, 0);
+                host.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
                 host.wait(10 * MS);
             }
             if step % 170 == 169 {
@@ -290,12 +290,12 @@
             let mut host = Host::new(talking(me, gateways), servers);
             host.serve = (0..servers).collect();
             for id in 0..40u64 {
-                // Spreads of none, of more doors than gateways, and a first door that is not there.
-                let (doors, first) = ([0, 1, 3, 70_000][id as usize % 4], id as u32 * 1_000);
+                // Spreads of none, wider than the fleet, and a first gateway that is not there.
+                let (spread, first) = ([0, 1, 3, 70_000][id as usize % 4], id as u32 * 1_000);
                 let (customer, class, plan) =
                     (format!("club{}", id % 5), (id % 3) as usize, (id % 4) as usize);
                 let (left, units) = (S, 1.0);
-                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+                host.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
                 if id == 20 {
                     host.now += 3_600 * S;
                 }
@@ -319,7 +319,7 @@
             ask_of(&mut hosts[(step / 5 * 7 % 40) as usize], step, 40);
         }
     });
-    // One request at each of forty doors at the least, and four a second over all of them for ten seconds.
+    // One request at each of forty gateways at the least, and four a second over all of them for ten seconds.
     assert!((30..=80).contains(&sent(&hosts)), "{} of 200", sent(&hosts));
 }
 
@@ -344,7 +344,7 @@
     }
 }
 
-/// Guards against a spiral: servers that were suspect because single connections fell silent counted as cold, and
+/// Guards against a spiral: servers that were ejected because single connections fell silent counted as cold, and
 /// took next to nothing until nearly all was refused. A server that broke a connection may have restarted.
 #[test]
 fn only_a_server_that_broke_a_connection_is_cold_after_its_trial() {
@@ -373,14 +373,14 @@
                 host.done(id, number, at, Status::Ok);
             }
         }
-        let trial = (10..600).find(|&id| {
+        let half_open = (10..600).find(|&id| {
             host.ask(id, 0, 3, 4 * S);
             let at = host.sent(id)[0];
             host.done(id, 0, at, Status::Ok);
             host.wait(20 * MS);
             at == silent
         });
-        assert!(trial.is_some(), "it is tried again");
+        assert!(half_open.is_some(), "it is tried again");
         host.done(1, 0, silent, Status::Timeout);
         for id in 1_000..1_008 {
             host.ask(id, 0, 3, 4 * S);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -195,7 +195,7 @@
 }
 
 #[test]
-fn a_quota_on_requests_open_at_once_is_split_over_the_doors() {
+fn a_quota_on_requests_open_at_once_is_split_over_the_gateways() {
     let mut host = Host::new(settings(), 4);
     for id in 0..3 {
         host.ask(id, 0, 2, 4 * S);
@@ -218,7 +218,7 @@
         customer,
         left,
         units: 900.0,
-        doors: 2,
+        spread: 2,
         first: 0,
     }));
     host.wait(2 * S);
@@ -286,7 +286,7 @@
         out.extend_from_slice(&host.sends[seen..]);
         seen = host.sends.len();
         most = most.max(out.len());
-        // Every answer takes 0.6 of the aim, whatever is out.
+        // Every answer takes 0.6 of the objective, whatever is out.
         while out.first().is_some_and(|o| o.0 + 600 * MS <= host.now) {
             let (_, id, attempt, server) = out.remove(0);
             let (latency, load) = (600 * MS, Load::default());
@@ -342,9 +342,9 @@
 }
 
 #[test]
-fn a_trial_that_was_never_made_does_not_bar_its_server_for_good() {
+fn a_half_open_test_that_was_never_made_does_not_bar_its_server_for_good() {
     let mut host = Host::new(Settings { gateways: 1, ..settings() }, 1);
-    // Three failures make the only server suspect; a second later one request tries it out.
+    // Three failures eject the only server; a second later one request tries it out.
     for id in 0..3 {
         host.ask(id, 2, 3, 4 * S);
         host.done(id, 0, 0, Status::Error);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -41,7 +41,7 @@
 }
 
 /// A customer's set of gateways, in number, and its use in parts of its rate.
-fn doors(customer: u64) -> u32 {
+fn spread(customer: u64) -> u32 {
     [5, 40, 120, 250][customer as usize % 4]
 }
 
@@ -127,11 +127,11 @@
 
     /// A gateway of the customer's set: some see far more of it than others, and which ones changes.
     fn door(&mut self, customer: u64, now: Micros) -> u32 {
-        let doors = u64::from(doors(customer));
+        let spread = u64::from(spread(customer));
         let part = self.chance.below(1_000) as f64 / 1_000.0;
-        let place = (part * part * doors as f64) as u64 + now / (8 * S) * 7;
+        let place = (part * part * spread as f64) as u64 + now / (8 * S) * 7;
         let first = customer * 17;
-        ((first + place % doors) % u64::from(GATEWAYS)) as u32
+        ((first + place % spread) % u64::from(GATEWAYS)) as u32
     }
 
     fn refused(&mut self, attempt: Try, now: Micros) {
@@ -178,9 +178,9 @@
             last += 1;
             let at = clients.door(attempt.customer, now);
             let (customer, units) = (format!("{:016x}", attempt.customer), attempt.units);
-            let (plan, doors) = (plan_of(attempt.customer), doors(attempt.customer));
+            let (plan, spread) = (plan_of(attempt.customer), spread(attempt.customer));
             let first = (attempt.customer * 17 % u64::from(GATEWAYS)) as u32;
-            let demand = Demand { id: last, class: 0, plan, customer, left: 4 * S, units, doors, first };
+            let demand = Demand { id: last, class: 0, plan, customer, left: 4 * S, units, spread, first };
             tries.insert(last, (attempt, 0));
             due.push((at, Event::Request(demand)));
         }
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -137,5 +137,5 @@
 fn slow_answers_of_all_servers_bound_what_is_out_whatever_single_reports_say() {
     assert_eq!(out_after(100 * MS), 25, "fast answers: each finds a server");
     let slow = out_after(800 * MS);
-    assert!(slow <= 4, "{slow} of 25 go out to servers that take eight tenths of the aim in the mean");
+    assert!(slow <= 4, "{slow} of 25 go out to servers that take eight tenths of the objective in the mean");
 }
