End connections with their answer once there are more than clients need for requests

Cause: clients that ask once and stay fill the table; each may be closed after 2 s only, so new connections wait in the listener's backlog for seconds, and a request's time runs there without the limiter knowing.

Ruled out: a longer backlog, and a time of waiting guessed for requests in it.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -89,6 +89,8 @@
 pub struct Clients {
     count: Rc<Cell<usize>>,
     most: usize,
+    /// Connections beyond which none is kept after its answer.
+    kept: usize,
     /// Idle connections, the oldest first.
     idle: RefCell<BTreeMap<u64, Idle>>,
     order: Cell<u64>,
@@ -104,11 +106,13 @@
 }
 
 impl Clients {
-    /// No connections yet, and so many at most.
-    pub fn new(most: usize) -> Rc<Self> {
+    /// No connections yet, and so many at most; beyond so many none is kept after its answer.
+    pub fn new(most: usize, kept: usize) -> Rc<Self> {
+        let most = most.saturating_sub(SHED).max(1);
         Rc::new(Clients {
             count: Rc::default(),
-            most: most.saturating_sub(SHED).max(1),
+            most,
+            kept: kept.min(most),
             idle: RefCell::default(),
             order: Cell::new(0),
             ended: Notify::new(),
@@ -124,6 +128,12 @@
         self.count.get()
     }
 
+    /// Whether there are more than clients need for their requests: the others wait to be accepted behind those
+    /// that have asked and stay.
+    fn crowded(&self) -> bool {
+        self.count.get() > self.kept
+    }
+
     /// Time since a connection was last accepted.
     pub fn quiet_for(&self) -> Duration {
         self.accepted.get().map_or(Duration::MAX, |at| at.elapsed())
@@ -274,7 +284,7 @@
             };
             self.fresh = false;
             let last = !head.keep_alive || self.shed;
-            let close = last || self.ends(core);
+            let close = last || self.ends(core, clients);
             let asked = read_request(&core.config.setup, &head, &bytes, body);
             self.strikes = if asked.is_err() { self.strikes + 1 } else { 0 };
             let open = match asked {
@@ -285,7 +295,9 @@
                 Ok(Ask::Health) => self.answer(503, b"", close, b"not ready\n").await,
                 // Too many connections: turned away before the module has heard of it.
                 Ok(Ask::Demand(..)) if self.shed => self.answer(503, b"Retry-After: 1\r\n", true, b"").await,
-                Ok(Ask::Demand(id, demand, forward)) => self.request(core, id, demand, forward, last).await,
+                Ok(Ask::Demand(id, demand, forward)) => {
+                    self.request(core, clients, id, (demand, forward), last).await
+                }
             };
             if !open {
                 return self.finish(if self.shed { LINGER_IDLE } else { LINGER }).await;
@@ -357,9 +369,11 @@
         Ok(Some((head, bytes, body.bytes)))
     }
 
-    /// Whether the limiter is ending and nothing more has come: a request behind this one is taken already.
-    fn ends(&self, core: &Core) -> bool {
-        core.draining.get() && self.buffer.is_empty() && servers::quiet(&self.stream)
+    /// Whether the connection ends with its answer, as the limiter is ending or there are too many; not where more
+    /// has come: a request behind this one is taken already.
+    fn ends(&self, core: &Core, clients: &Clients) -> bool {
+        let due = core.draining.get() || clients.crowded();
+        due && self.buffer.is_empty() && servers::quiet(&self.stream)
     }
 
     async fn more(&mut self) -> bool {
@@ -402,9 +416,9 @@
     async fn request(
         &mut self,
         core: &Rc<Core>,
+        clients: &Clients,
         name: Vec<u8>,
-        demand: Demand,
-        forward: Forward,
+        (demand, forward): (Demand, Forward),
         last: bool,
     ) -> bool {
         // One that waited to be accepted, or behind others on its connection, may have lost its client meanwhile.
@@ -413,7 +427,7 @@
         }
         let Some((id, mut answer)) = core.request(&name, demand, forward) else {
             self.strikes += 1;
-            let close = last || self.ends(core);
+            let close = last || self.ends(core, clients);
             return self.answer(409, b"", close, b"a request with this Req-Id is open\n").await;
         };
         let answer = loop {
@@ -431,7 +445,7 @@
                 },
             }
         };
-        let close = last || self.ends(core);
+        let close = last || self.ends(core, clients);
         match answer {
             Answer::Served(served) => self.answer(200, &served.headers, close, &served.body).await,
             Answer::Refused(0) => self.answer(429, b"", close, b"").await,
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -24,8 +24,10 @@
 /// Descriptors set aside: standard streams, runtime and signals, listener, datagrams, discovery (8), those that
 /// are just closing (8), and the counter's.
 const SOCKETS_ASIDE: usize = 16 + counter::CONNECTIONS_MOST;
-/// Connections to servers beyond the open requests: clients hold a third of all descriptors at most for requests,
-/// each of these has one attempt out, and the rest stands idle to be used again.
+/// Part of all descriptors that clients hold at most for requests.
+const CLIENTS_PART: usize = 3;
+/// Connections to servers beyond the open requests: each of these has one attempt out, and the rest stands idle to
+/// be used again.
 const SERVERS_MORE: usize = 8;
 /// Discovery has so long to answer; then what was known must do.
 const READY_MOST: Duration = Duration::from_secs(2);
@@ -82,8 +84,8 @@
     let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
     let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
     let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
-    let to_servers = (config.sockets / 3 + SERVERS_MORE).min(sockets / 2);
-    let clients = clients::Clients::new(sockets - to_servers);
+    let to_servers = (config.sockets / CLIENTS_PART + SERVERS_MORE).min(sockets / 2);
+    let clients = clients::Clients::new(sockets - to_servers, config.sockets / CLIENTS_PART);
     log::info!("limiter {} listens at {}", config.name, config.listen);
     let core = Core::new(config, counter, peers, to_servers);
 
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -73,7 +73,15 @@
 
 /// Starts a stand-in; `serve` gets the number of the connection, the request and the stream.
 pub fn server(serve: impl Fn(usize, &Message, &mut TcpStream) + Send + Sync + 'static) -> Server {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    server_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), serve)
+}
+
+/// The same at an address.
+pub fn server_at(
+    at: SocketAddr,
+    serve: impl Fn(usize, &Message, &mut TcpStream) + Send + Sync + 'static,
+) -> Server {
+    let listener = TcpListener::bind(at).expect("a port");
     let address = listener.local_addr().expect("its address");
     let (tell, requests) = channel();
     let serve: Arc<Serve> = Arc::new(serve);
@@ -136,9 +144,14 @@
 
 /// Discovery that gives a whole list; what is sent through the channel answers a watch.
 pub fn discovery(whole: String) -> (Server, Sender<String>) {
+    discovery_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), whole)
+}
+
+/// The same at an address.
+pub fn discovery_at(at: SocketAddr, whole: String) -> (Server, Sender<String>) {
     let (news, pending) = channel::<String>();
     let pending = Mutex::new(pending);
-    let served = server(move |_, message, stream| {
+    let served = server_at(at, move |_, message, stream| {
         // A call that will not wait is answered with the whole list, as a discovery may that is asked from far back.
         if message.line.contains("from=") && !message.line.contains("hold_ms=1 ") {
             let pending = pending.lock().expect("no panic while it is held");
