Tell a server the time that is left when an attempt is written

Change: the attempt holds until when an answer is waited for, and says what is left as it is written. The crossing test told 19999 ms of 20000, 701 ms after the request, before.

--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -306,9 +306,8 @@
         if timeout > 0 && now + timeout < deadline {
             self.set(state, now + timeout, Due::Attempt(id, number));
         }
-        let left = deadline.saturating_sub(now);
-        let left = if timeout > 0 { left.min(timeout) } else { left };
-        servers::start(self.clone(), servers::Start { id, number, server, forward, left }, stopped);
+        let until = if timeout > 0 { deadline.min(now + timeout) } else { deadline };
+        servers::start(self.clone(), servers::Start { id, number, server, forward, until }, stopped);
     }
 
     /// A client's request has come whole. Gives its number and where its answer will come; nothing where another
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -231,8 +231,8 @@
     pub server: ServerId,
     /// What is sent.
     pub forward: Rc<Forward>,
-    /// How long an answer is waited for.
-    pub left: Micros,
+    /// Until when an answer is waited for, by the module's clock.
+    pub until: Micros,
 }
 
 /// Makes an attempt and tells the core how it ended. `stopped` ends it before its time: its connection is
@@ -312,7 +312,8 @@
     if !pools.serves(start.server, conn.to) {
         return Status::Moot.into();
     }
-    let message = message(&start.forward, start.left);
+    // What is left now: the connection may have taken long to come up.
+    let message = message(&start.forward, start.until.saturating_sub(core.clock.now()));
     if let Err(e) = conn.write(&message, written).await {
         log::debug!("server {} broke off before the request was written: {e}", start.server);
         // Broke before the last byte was handed over: it cannot have run.
--- a/limeway/tests/crossings.rs
+++ b/limeway/tests/crossings.rs
@@ -83,6 +83,31 @@
     }
 }
 
+/// Guards against telling a server the time that was left when its connection was begun.
+#[test]
+fn an_attempt_tells_what_is_left_when_it_is_written_not_when_its_connection_began() {
+    for class in ["look", "once"] {
+        let (withheld, (counter, answered)) = (Withheld::new(), telling_counter());
+        let stand_in = Server { address: withheld.address, requests: std::sync::mpsc::channel().1 };
+        let mut setup = Setup::new(&[&stand_in], &counter);
+        setup.permissions = r#","dial-timeout":15000000"#.to_owned();
+        let limiter = setup.start();
+        let mut client = limiter.client();
+        client.write(&request(class, "waits", "team", 20_000));
+        let written = std::time::Instant::now();
+        answered.recv_timeout(LONG).expect("a call to the counter");
+        turns(&limiter);
+        // Not to order events: the connection takes so long to come up.
+        std::thread::sleep(Duration::from_millis(700));
+        let waited = written.elapsed().as_millis() as u64;
+        let (server, _comes_up) = withheld.open();
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        let (_, sent) = server.requests.recv_timeout(LONG).expect("a request");
+        let told: u64 = sent.header("req-deadline-ms").and_then(|t| t.parse().ok()).expect("a time");
+        assert!(told <= 20_000 - waited, "{class}: told {told} ms, {waited} ms after it was asked");
+    }
+}
+
 #[test]
 fn nothing_goes_to_a_server_that_was_drained_while_its_connection_came_up() {
     let (one, two, (counter, answered)) = (Withheld::new(), Withheld::new(), telling_counter());
