--- /dev/null
+++ b/limeway/tests/closing.rs
@@ -0,0 +1,96 @@
+//! Bytes that arrive in the very moment in which a connection is shut or closed, against the real program.
+
+mod common;
+use common::*;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+/// Reads to the end of a connection; an error where it was reset.
+fn to_the_end(mut stream: TcpStream) -> std::io::Result<String> {
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+/// Guards against a close over bytes that are unread: that resets the connection, and what was on its way with it.
+#[test]
+fn what_comes_behind_the_last_request_of_a_connection_does_not_reset_it() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let asks = request("look", "last", "team", 9000);
+    let last = asks.replacen("Host:", "Connection: close\r\nHost:", 1);
+    let bad = "NONSENSE\r\n\r\n".to_owned();
+    // Answered at once, with what is behind it still to come.
+    let health = "GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".to_owned();
+    for (first, status) in [(last, "200 "), (bad, "400 "), (health, "200 ")] {
+        for behind in [1, 1_000, 100_000] {
+            let client = limiter.client();
+            let mut stream = client.stream.try_clone().expect("a second handle");
+            let bytes = [first.as_bytes(), &vec![b'x'; behind]].concat();
+            // It may be cut off while it writes, but not before it has its answer.
+            let writer = thread::spawn(move || drop(stream.write_all(&bytes)));
+            let text = to_the_end(client.stream.try_clone().expect("a second handle"));
+            let seen = format!("{status}, {behind} bytes behind: {text:?}");
+            assert!(text.is_ok_and(|t| t.starts_with(&format!("HTTP/1.1 {status}"))), "{seen}");
+            writer.join().expect("it ends");
+        }
+    }
+}
+
+/// Guards against a request that is read after the limiter has ended its connection, and sent on though nobody can
+/// be answered: clients ask without a pause, also in the moment in which their connections are closed.
+#[test]
+fn whatever_is_sent_on_while_it_ends_is_answered() {
+    for round in 0..3 {
+        let (one, counter) = (server(ok), counter());
+        let mut limiter = Setup::new(&[&one], &counter).start();
+        let clients: Vec<_> = (0..16)
+            .map(|me| {
+                let mut client = limiter.client();
+                thread::spawn(move || {
+                    let mut answered = Vec::new();
+                    for n in 0.. {
+                        let id = format!("{me}-{n}");
+                        client.write(&request("look", &id, "team", 9000));
+                        match client.read() {
+                            Some(_) => answered.push(id),
+                            None => break,
+                        }
+                        // Some rest until the limiter ends them, and ask just then.
+                        thread::sleep(Duration::from_millis([0, 5, 40, 450][me % 4]));
+                    }
+                    answered
+                })
+            })
+            .collect();
+        while one.requests.recv_timeout(LONG).expect("a request").1.header("req-id") != Some("1-1") {}
+        limiter.terminate();
+        assert!(limiter.wait().success());
+        let answered: BTreeSet<String> =
+            clients.into_iter().flat_map(|c| c.join().expect("it ends")).collect();
+        let sent = one.requests.try_iter().filter_map(|r| r.1.header("req-id").map(str::to_owned));
+        let lost: Vec<String> = sent.filter(|id| !answered.contains(id)).collect();
+        assert!(lost.is_empty(), "round {round}: {lost:?}");
+    }
+}
+
+/// Guards against an answer without a length that is taken to end where its connection was reset.
+#[test]
+fn a_reset_is_no_end_of_an_answer_without_a_length() {
+    for class in ["once", "look"] {
+        let counter = counter();
+        let cut = |_: usize, _: &Message, s: &mut TcpStream| {
+            let _ = s.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf of it");
+            let _ = socket2::SockRef::from(&*s).set_linger(Some(Duration::ZERO));
+            hang_up(s);
+        };
+        let (one, two) = (server(cut), server(cut));
+        let limiter = Setup::new(&[&one, &two], &counter).start();
+        assert_eq!(limiter.client().ask(&request(class, "1", "team", 9000)).status(), 502, "{class}");
+        let attempts = one.requests.try_iter().count() + two.requests.try_iter().count();
+        assert_eq!(attempts > 1, class == "look", "{class}: {attempts} attempts");
+    }
+}
