--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -283,7 +283,7 @@
         let config = self.json(listen, at, &peers);
         let path = place(&config);
         Limiter {
-            child: command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"),
+            child: limited(self.sockets).env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"),
             config,
             path,
             address: listen,
@@ -316,7 +316,17 @@
 
 /// The program, with nothing of the test's own environment that it would read.
 pub fn command() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_limeway"));
+    bare(Command::new(env!("CARGO_BIN_EXE_limeway")))
+}
+
+/// The same, and the system gives it no more descriptors than its configuration.
+fn limited(sockets: usize) -> Command {
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("ulimit -n {sockets}; exec \"$0\"")).arg(env!("CARGO_BIN_EXE_limeway"));
+    bare(command)
+}
+
+fn bare(mut command: Command) -> Command {
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"] {
         command.env_remove(name);
     }
@@ -373,7 +383,14 @@
 
     /// A client's connection.
     pub fn client(&self) -> Client {
-        Client::over(TcpStream::connect(self.address).expect("a connection"))
+        match TcpStream::connect(self.address) {
+            Ok(stream) => Client::over(stream),
+            Err(e) => {
+                // Its state, and by the last figure how it ended if it did.
+                let process = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+                panic!("no connection to {}: {e}; process: {process:?}", self.address)
+            }
+        }
     }
 
     fn signal(&self, name: &str) {
