--- /dev/null
+++ b/scale/src/real.rs
@@ -0,0 +1,317 @@
+//! Real limiters, as processes on loopback: what they cost by the number of servers, of tenants and of limiters.
+
+use crate::process;
+use crate::report::Run;
+use crate::settings::{Deployment, DEADLINE_MS, SPREAD};
+use crate::standins::{self, read_head, Discovery, Seen};
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::fmt;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// Time for a limiter to be ready before it counts as one that never is: three times what the trial allows.
+const READY_MOST: Duration = Duration::from_secs(30);
+/// Time for a change to be in force before it counts as lost.
+const CHANGE_MOST: Duration = Duration::from_secs(12);
+/// Requests in flight at once from the load generator of one limiter.
+const CLIENTS: usize = 8;
+
+/// Pause of a client after each answer: a limiter is measured far from what it can bear.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a measurement could not be made.
+#[derive(Debug)]
+pub enum Error {
+    /// The program or a socket.
+    Io(io::Error),
+    /// A limiter was not ready in time.
+    NeverReady,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Io(e) => write!(f, "{e}"),
+            Error::NeverReady => write!(f, "a limiter was not ready within {READY_MOST:?}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(e: io::Error) -> Self {
+        Error::Io(e)
+    }
+}
+
+/// One measurement.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The limiter's program.
+    pub program: PathBuf,
+    /// Limiters at once.
+    pub limiters: u32,
+    /// Servers in the list.
+    pub servers: usize,
+    /// Tenants among which requests are dealt.
+    pub tenants: u64,
+    /// Requests, over all limiters.
+    pub requests: u64,
+    /// Time at rest over which processor time and bytes are counted.
+    pub rest: Duration,
+    /// Memory that each limiter may have, in megabytes.
+    pub memory_mb: u64,
+    /// Seed of all random numbers.
+    pub seed: u64,
+}
+
+/// A limiter that runs; it ends with this value.
+struct Limiter {
+    child: Child,
+    address: SocketAddr,
+    config: PathBuf,
+}
+
+impl Drop for Limiter {
+    fn drop(&mut self) {
+        let _ = self.child.start_kill();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+impl Limiter {
+    fn pid(&self) -> u32 {
+        self.child.id().unwrap_or(0)
+    }
+
+    fn cpu(&self) -> Duration {
+        process::cpu(self.pid()).unwrap_or_default()
+    }
+}
+
+/// The stand-ins of one measurement.
+struct World {
+    discovery: Rc<Discovery>,
+    counter: (SocketAddr, Rc<Seen>),
+    servers: (SocketAddr, Rc<Seen>),
+    deployment: Deployment,
+}
+
+impl World {
+    async fn start(plan: &Plan) -> io::Result<Self> {
+        let (servers, zones) = (plan.servers, if plan.servers > 2_000 { (6, 4) } else { (1, 2) });
+        let deployment =
+            Deployment { limiters: plan.limiters, servers, regions: zones.0, zones: zones.1, ask: false };
+        let (counter, server) = (standins::counter().await?, standins::server().await?);
+        let dial = server.0.to_string();
+        let rows: Vec<String> = (0..servers).map(|n| deployment.row(n, &dial, "SERVING")).collect();
+        Ok(World { discovery: Discovery::start(&rows).await?, counter, servers: server, deployment })
+    }
+
+    /// Starts one limiter, which knows nothing.
+    fn limiter(&self, plan: &Plan, me: u32) -> io::Result<Limiter> {
+        // Nobody listens there until the limiter does.
+        let listener = std::net::TcpListener::bind((IpAddr::from([127, 0, 0, 1]), 0))?;
+        let address = listener.local_addr()?;
+        drop(listener);
+        let json = serde_json::json!({
+            "name": format!("n{me}"), "listen": address.to_string(), "seed": format!("{:x}", plan.seed + u64::from(me)),
+            "discovery": self.discovery.address.to_string(), "counter": self.counter.0.to_string(),
+            "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": 1_024},
+            "settings": self.deployment.settings(me),
+        });
+        let name = format!("saltlink-scale-{}-{}.json", std::process::id(), address.port());
+        let config = std::env::temp_dir().join(name);
+        std::fs::write(&config, json.to_string())?;
+        let mut command = Command::new(&plan.program);
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command
+            .env("ROUTER_CONFIG", &config)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .stdout(Stdio::null());
+        Ok(Limiter { child: command.kill_on_drop(true).spawn()?, address, config })
+    }
+
+    fn bytes(&self) -> u64 {
+        self.discovery.seen.bytes.get() + self.counter.1.bytes.get()
+    }
+}
+
+async fn exchange(stream: &mut TcpStream, buffer: &mut Vec<u8>, message: &str) -> io::Result<u16> {
+    stream.write_all(message.as_bytes()).await?;
+    let Some(head) = read_head(stream, buffer).await? else {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    };
+    let length =
+        head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("content-length:").map(str::to_owned));
+    let length = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
+    while buffer.len() < length {
+        use tokio::io::AsyncReadExt;
+        if stream.read_buf(buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    buffer.drain(..length);
+    Ok(head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0))
+}
+
+async fn ready(limiter: &Limiter) -> Result<(), Error> {
+    let start = Instant::now();
+    while start.elapsed() < READY_MOST {
+        if let Ok(mut stream) = TcpStream::connect(limiter.address).await {
+            let mut buffer = Vec::new();
+            let asked = exchange(&mut stream, &mut buffer, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+            if matches!(timeout(Duration::from_secs(1), asked).await, Ok(Ok(200))) {
+                return Ok(());
+            }
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Err(Error::NeverReady)
+}
+
+/// One request after the other on a connection; how long each took, in microseconds, and how many were served.
+async fn client(to: SocketAddr, ids: Vec<(u64, u64)>, spread: u32) -> io::Result<(Vec<u64>, u64)> {
+    let (mut stream, mut buffer) = (TcpStream::connect(to).await?, Vec::new());
+    stream.set_nodelay(true)?;
+    let (mut took, mut served) = (Vec::with_capacity(ids.len()), 0);
+    for (id, tenant) in ids {
+        let message = format!(
+            "GET /look/{tenant:016x} HTTP/1.1\r\nHost: x\r\nReq-Id: {id:016x}\r\nReq-Kind: look\r\nPlan: plan\r\n\
+             Req-Deadline-Ms: {DEADLINE_MS}\r\nQuota-Info: units=1,spread={spread},first=0\r\n\r\n"
+        );
+        let start = Instant::now();
+        let status = exchange(&mut stream, &mut buffer, &message).await?;
+        took.push(start.elapsed().as_micros() as u64);
+        served += u64::from(status == 200);
+        sleep(PAUSE).await;
+    }
+    Ok((took, served))
+}
+
+/// Sends requests at an address from several clients, dealt among tenants by chance.
+async fn load(
+    to: SocketAddr,
+    requests: u64,
+    plan: &Plan,
+    first: u64,
+) -> Result<(Histogram<u64>, u64), Error> {
+    let mut random = SmallRng::seed_from_u64(plan.seed ^ first);
+    let mut dealt = vec![Vec::new(); CLIENTS];
+    for n in 0..requests {
+        dealt[n as usize % CLIENTS].push((first + n, random.random_range(0..plan.tenants.max(1))));
+    }
+    let spread = SPREAD.min(plan.limiters);
+    let clients: Vec<_> =
+        dealt.into_iter().map(|ids| tokio::task::spawn_local(client(to, ids, spread))).collect();
+    let mut latency = Histogram::new(3).map_err(|e| Error::Io(io::Error::other(e.to_string())))?;
+    let mut served = 0;
+    for client in clients {
+        let (took, good) = client.await.map_err(io::Error::other)??;
+        served += good;
+        for time in took {
+            latency.saturating_record(time);
+        }
+    }
+    Ok((latency, served))
+}
+
+/// Measures once.
+pub async fn measure(plan: &Plan, run: &mut Run) -> Result<(), Error> {
+    let world = World::start(plan).await?;
+    run.put("list_mb", world.discovery.length() as f64 / 1e6);
+    let start = Instant::now();
+    let limiters: Vec<Limiter> =
+        (0..plan.limiters).map(|me| world.limiter(plan, me)).collect::<io::Result<_>>()?;
+    for limiter in &limiters {
+        ready(limiter).await?;
+    }
+    let all = limiters.len() as f64;
+    run.put("ready_s", start.elapsed().as_secs_f64());
+    run.put("start_cpu_ms", limiters.iter().map(|l| l.cpu().as_secs_f64()).sum::<f64>() * 1e3 / all);
+    run.put("start_list_calls", world.discovery.seen.calls.get() as f64);
+
+    let (before, bytes, calls) = (total_cpu(&limiters), world.bytes(), world.discovery.seen.calls.get());
+    sleep(plan.rest).await;
+    run.put("rest_cpu_percent", (total_cpu(&limiters) - before) / plan.rest.as_secs_f64() * 100.0 / all);
+    run.put("rest_bytes_s", (world.bytes() - bytes) as f64 / plan.rest.as_secs_f64() / all);
+    run.put("rest_list_calls_s", (world.discovery.seen.calls.get() - calls) as f64 / plan.rest.as_secs_f64());
+
+    let direct = load_direct(&world, plan).await?;
+    let (before, calls) = (total_cpu(&limiters), world.counter.1.calls.get());
+    let (mut latency, mut served) =
+        (Histogram::<u64>::new(3).map_err(|e| io::Error::other(e.to_string()))?, 0);
+    for (n, limiter) in limiters.iter().enumerate() {
+        let (took, good) =
+            load(limiter.address, plan.requests / limiters.len() as u64, plan, (n as u64 + 1) << 32).await?;
+        latency.add(took).map_err(|e| io::Error::other(e.to_string()))?;
+        served += good;
+    }
+    let sent = latency.len().max(1) as f64;
+    run.put("request_cpu_ms", (total_cpu(&limiters) - before) * 1e3 / sent);
+    run.put("served_share", served as f64 / sent);
+    run.put("counter_calls_a_request", (world.counter.1.calls.get() - calls) as f64 / sent);
+    let added = |q: f64| (latency.value_at_quantile(q) as f64 - direct.value_at_quantile(q) as f64) / 1e3;
+    run.put("added_ms_median", added(0.5));
+    run.put("added_ms_99", added(0.99));
+
+    change(&world, &limiters, run).await;
+    let memory: Vec<(f64, f64)> = limiters.iter().filter_map(|l| process::memory(l.pid())).collect();
+    run.put("memory_mb", memory.iter().map(|m| m.0).sum::<f64>() / all);
+    run.put("memory_peak_mb", memory.iter().map(|m| m.1).fold(0.0, f64::max));
+    run.put("server_connections", world.servers.1.connections.get() as f64);
+    Ok(())
+}
+
+fn total_cpu(limiters: &[Limiter]) -> f64 {
+    limiters.iter().map(|l| l.cpu().as_secs_f64()).sum()
+}
+
+/// The same requests at the server itself.
+async fn load_direct(world: &World, plan: &Plan) -> Result<Histogram<u64>, Error> {
+    Ok(load(world.servers.0, plan.requests, plan, 0).await?.0)
+}
+
+/// One server drains: how long until all have taken it in, and what that costs each.
+async fn change(world: &World, limiters: &[Limiter], run: &mut Run) {
+    let before = total_cpu(limiters);
+    let row = world.deployment.row(0, &world.servers.0.to_string(), "DRAINING");
+    let start = Instant::now();
+    world.discovery.tell(&row);
+    while world.discovery.heard().len() < limiters.len() && start.elapsed() < CHANGE_MOST {
+        sleep(Duration::from_millis(2)).await;
+    }
+    let heard = world.discovery.heard();
+    run.put("change_missed", (limiters.len() - heard.len().min(limiters.len())) as f64);
+    let last = heard.iter().max().map_or(f64::NAN, |at| (*at - start).as_secs_f64());
+    run.put("change_in_force_ms", last * 1e3);
+    run.put("change_cpu_ms", (total_cpu(limiters) - before) * 1e3 / limiters.len() as f64);
+}
+
+/// The limiter's program beside this one.
+pub fn program() -> io::Result<PathBuf> {
+    let mut path = std::env::current_exe()?;
+    path.set_file_name("limeway");
+    if Path::new(&path).exists() {
+        Ok(path)
+    } else {
+        Err(io::Error::new(
+            io::ErrorKind::NotFound,
+            format!("no limiter at {}: build it, or name it by --program", path.display()),
+        ))
+    }
+}
