Take in lists as long as the memory limit bears, and say what is wrong with longer ones

A list over 1 MiB, the bound for servers' answers (ANSWER_BODY_MOST in http.rs), was taken for spoilt, in silence at the usual log level. Beyond it rows were read as trees of JSON values, and whole lists were compared by nested loops (on_servers() in rules.rs, n x n).

Change: discovery's answers may have an eighth of the memory limit, and not less than before; rows are kept as text until each is read; a set tells which servers a list names. A failed call to discovery is told once a second at most, a long list with its bound. Equal events give equal actions as before.

Tests: lists.rs takes in 49,000 servers within 64 MB, with a change and the whole list anew, and a list that 8 MB do not bear is refused in words while what was known serves. The work of a request still grows with the number of servers: that is the mechanism that is missing next.

--- a/limeway/src/catalog.rs
+++ b/limeway/src/catalog.rs
@@ -1,6 +1,7 @@
 //! The list of servers as discovery words it.
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// State of a server in the list.
@@ -59,12 +60,12 @@
     pub spoilt: usize,
 }
 
-/// A list as it comes, its rows not yet judged.
+/// A list as it comes, its rows not yet judged: as text, which takes less memory than a tree of values.
 #[derive(Deserialize)]
 struct Raw {
     seq: u64,
     whole: bool,
-    hosts: Vec<serde_json::Value>,
+    hosts: Vec<Box<RawValue>>,
 }
 
 impl From<Raw> for List {
@@ -72,8 +73,12 @@
     fn from(raw: Raw) -> Self {
         let rows = raw.hosts.len();
         let sound = |row: &Row| row.health != Health::Serving || row.dial.parse::<SocketAddr>().is_ok();
-        let hosts: Vec<Row> =
-            raw.hosts.into_iter().filter_map(|row| serde_json::from_value(row).ok()).filter(sound).collect();
+        let hosts: Vec<Row> = raw
+            .hosts
+            .into_iter()
+            .filter_map(|row| serde_json::from_str(row.get()).ok())
+            .filter(sound)
+            .collect();
         List { seq: raw.seq, whole: raw.whole, spoilt: rows - hosts.len(), hosts }
     }
 }
--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -49,11 +49,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, memory_mb: 64.0 }
     }
 }
 
@@ -93,6 +94,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that it may take, in megabytes.
+    pub memory_mb: f64,
     /// Where messages of other limiters arrive, and the address of each limiter.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// The servers as last known.
@@ -155,6 +158,7 @@
             places: Places { discovery, counter, file: in_file },
             seed,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             peers,
             known: file.known,
             setup,
--- a/limeway/src/connection.rs
+++ b/limeway/src/connection.rs
@@ -93,6 +93,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     since: Instant,
+    /// Longest body of an answer, in bytes.
+    most: usize,
     /// Where it leads.
     pub to: SocketAddr,
     _counted: Counted,
@@ -101,10 +103,15 @@
 impl Conn {
     /// Opens a connection and counts it.
     pub async fn open(to: SocketAddr, count: &Rc<Cell<usize>>) -> io::Result<Self> {
+        Self::open_for(to, count, http::ANSWER_BODY_MOST).await
+    }
+
+    /// The same, for answers with bodies of so many bytes.
+    pub async fn open_for(to: SocketAddr, count: &Rc<Cell<usize>>, most: usize) -> io::Result<Self> {
         let _counted = Counted::new(count);
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), to, _counted })
+        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), most, to, _counted })
     }
 
     /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
@@ -162,7 +169,7 @@
     /// Reads the answer that has begun; nothing if it was of the kind 1xx.
     async fn read_begun(&mut self) -> Result<Option<Reply>, Broken> {
         let head = loop {
-            match http::answer(&self.buffer)? {
+            match http::answer(&self.buffer, self.most)? {
                 Some(head) => break head,
                 None => self.more_soon().await?,
             }
@@ -176,7 +183,7 @@
         if open_end && head.status == 200 {
             return Err(Broken::Spoilt("no length"));
         }
-        let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
+        let mut body = Body::new(head.framing, self.most);
         while !open_end && !body.take(&mut self.buffer)? {
             self.more_soon().await?;
         }
--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -6,8 +6,9 @@
 //! fallen silent.
 
 use crate::catalog::List;
-use crate::connection::{Conn, Reply};
+use crate::connection::{Broken, Conn, Reply};
 use crate::core::Core;
+use crate::http;
 use pondgw::{Event, ListKind, Setup};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -31,6 +32,10 @@
 const GRACE_PART: u32 = 2;
 /// Calls under way at most: as many as may be late one after the other within the time above.
 const CALLS_MOST: usize = 4;
+/// Bytes that a list may have as it comes, for each megabyte of the memory limit: an eighth, as it is held once as
+/// it is read, twice while that grows, and then as text and as rows. A row has some 126 bytes, so 64 MB bear a list
+/// of 60,000 servers.
+const LIST_PART: f64 = 1024.0 * 1024.0 / 8.0;
 /// Wait after a call that failed where lists are pushed: at first, and at most after doubling.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Part of the time of grace that this wait may take.
@@ -161,7 +166,7 @@
 
     /// A call has failed. Only the newest tells how things stand.
     fn on_failure(&mut self, id: Id, error: &io::Error) {
-        log::info!("discovery: {error}");
+        self.core.log_limiter.warn(format_args!("discovery: {error}"));
         if self.order.back().is_none_or(|newest| newest.id() != id) || !matches!(self.next, Next::Late(_)) {
             return;
         }
@@ -227,6 +232,12 @@
     grace.min(LATE)
 }
 
+/// Longest list that is read, in bytes.
+fn list_most(core: &Core) -> usize {
+    // A figure that makes no sense becomes nought, or the most that there is.
+    ((core.config.memory_mb * LIST_PART) as usize).max(http::ANSWER_BODY_MOST)
+}
+
 /// Asks for the whole list, or for what is newer than the version held, waiting so long for it.
 async fn call(core: Rc<Core>, kept: Option<Conn>, seq: Option<u64>, hold_ms: u64) -> io::Result<Answer> {
     let target = match seq {
@@ -234,13 +245,17 @@
         None => "/catalog/members".to_owned(),
     };
     let message = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
+    let most = list_most(&core);
     let exchange = async {
         let mut open = match kept.filter(Conn::quiet) {
             Some(open) => open,
-            None => Conn::open(core.places.get().discovery, &Rc::default()).await?,
+            None => Conn::open_for(core.places.get().discovery, &Rc::default(), most).await?,
         };
         open.write(message.as_bytes(), &Cell::new(false)).await?;
-        let Reply { head, body, keep, .. } = open.read().await.map_err(io::Error::other)?;
+        let Reply { head, body, keep, .. } = open.read().await.map_err(|e| match e {
+            Broken::Ended(e) => e,
+            e => io::Error::other(format!("{e}; lists of up to {most} bytes are read")),
+        })?;
         if head.status != 200 {
             return Err(io::Error::other(format!("status {}", head.status)));
         }
--- a/limeway/src/http.rs
+++ b/limeway/src/http.rs
@@ -8,7 +8,7 @@
 pub const HEAD_MOST: usize = 16 * 1024;
 /// Longest body of a request, in bytes.
 pub const BODY_MOST: usize = 64 * 1024;
-/// Longest body of an answer, in bytes: servers have been seen to send some 400 KB.
+/// Longest body of a server's answer, in bytes: servers have been seen to send some 400 KB.
 pub const ANSWER_BODY_MOST: usize = 1024 * 1024;
 /// Most headers of a message.
 const HEADERS_MOST: usize = 64;
@@ -89,7 +89,7 @@
     value.split(|b| *b == b',').any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
 }
 
-fn framing(headers: &[httparse::Header], answer: bool) -> Result<Framing, HttpError> {
+fn framing(headers: &[httparse::Header], answer: bool, most: usize) -> Result<Framing, HttpError> {
     let mut length: Option<usize> = None;
     let mut chunked = false;
     for header in headers {
@@ -113,9 +113,7 @@
     match (length, chunked) {
         // Two lengths for one body: a way to smuggle a second request past whoever reads the other one.
         (Some(_), true) => Err(HttpError::Malformed),
-        (Some(length), false) if length > if answer { ANSWER_BODY_MOST } else { BODY_MOST } => {
-            Err(HttpError::BodyTooLong)
-        }
+        (Some(length), false) if length > most => Err(HttpError::BodyTooLong),
         (Some(length), false) => Ok(Framing::Length(length)),
         (None, true) => Ok(Framing::Chunked),
         (None, false) => Ok(if answer { Framing::UntilClose } else { Framing::Length(0) }),
@@ -159,7 +157,7 @@
     }
     Ok(Some(Head {
         len,
-        framing: framing(parsed.headers, false)?,
+        framing: framing(parsed.headers, false, BODY_MOST)?,
         keep_alive: keep_alive(parsed.headers, parsed.version.unwrap_or(0)),
         status: 0,
         method: place(bytes, method.as_bytes()),
@@ -168,14 +166,14 @@
     }))
 }
 
-/// Reads an answer's head; nothing while it is not whole.
-pub fn answer(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
+/// Reads an answer's head, whose body may have so many bytes; nothing while it is not whole.
+pub fn answer(bytes: &[u8], most: usize) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Response::new(&mut headers);
     let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
     let status = parsed.code.unwrap_or(0);
     let bare = (100..200).contains(&status) || status == 204 || status == 304;
-    let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true)? };
+    let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true, most)? };
     Ok(Some(Head {
         len,
         framing,
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -204,6 +204,7 @@
     /// Limiters in the fleet.
     pub gateways: u32,
     pub known: Known,
+    pub memory_mb: u32,
 }
 
 impl Setup {
@@ -221,6 +222,7 @@
             ask: false,
             gateways: 2,
             known: Known::Servers,
+            memory_mb: 192,
         }
     }
 
@@ -241,7 +243,7 @@
         let peers: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).collect();
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"peer_listen":{},"peers":[{}],
+"limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"peer_listen":{},"peers":[{}],
 "counter":"{}",{known}
 "settings":{{"balancers":{gateways},"me":0,"discovery":"{}","failure-domains":["a"],"zone":"a","round":4000,
 "family-info":{{"count-limit":2000000,"max-units":4,"may-count":true}},
@@ -254,6 +256,7 @@
 {{"deadline":30000000,"effect":"side_effect","goal-time":8000000,"key-scope":"all","name":"once","window":0,"worth":3.0}}],
 "rules":{{"cold":9000000,"cold-from":0.3,"drain-grace":1000000,"fall":1000000,"fall-multiple":3.0}}}}}}"#,
             self.seed,
+            self.memory_mb,
             self.sockets,
             peers.first().map_or("\"127.0.0.1:0\"".into(), String::clone),
             peers.join(","),
--- /dev/null
+++ b/limeway/tests/lists.rs
@@ -0,0 +1,62 @@
+//! Lists of many servers, against the real program: taken in as far as the memory limit bears them, else refused in
+//! words while what was known serves on.
+
+mod common;
+use common::*;
+use std::io::{BufRead, BufReader};
+use std::time::{Duration, Instant};
+
+/// A list of so many servers, all at one address.
+fn long_list(server: &Server, size: usize) -> String {
+    let rows: Vec<String> =
+        (0..size).map(|n| entry(&format!("s-{n:08x}"), server.address, "SERVING")).collect();
+    list(1, true, &rows)
+}
+
+/// Most memory that a process has held, in megabytes.
+fn peak_mb(limiter: &Limiter) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", limiter.child.id())).expect("it runs");
+    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+    line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1024
+}
+
+/// Guards against a limiter that never starts before a large fleet, and against memory beyond its limit on the way.
+#[test]
+fn a_list_of_tens_of_thousands_of_servers_is_taken_in_within_the_memory_limit() {
+    let (one, counter) = (server(ok), counter());
+    let (agent, news) = discovery(long_list(&one, 49_000));
+    let mut setup = Setup::new(&[&one], &counter);
+    (setup.memory_mb, setup.known, setup.discovery) = (64, Known::Absent, Some(agent.address));
+    let limiter = setup.start();
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 20_000)).status(), 200);
+    // One server drains, and the whole list comes again.
+    news.send(list(2, false, &[entry("s-00000000", one.address, "DRAINING")])).expect("a watch");
+    while !agent.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=2&") {}
+    news.send(long_list(&one, 49_000).replacen("\"seq\":1", "\"seq\":3", 1)).expect("a watch");
+    while !agent.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=3&") {}
+    assert_eq!(limiter.client().ask(&request("look", "2", "team", 20_000)).status(), 200);
+    assert!(peak_mb(&limiter) <= 64, "{} MB", peak_mb(&limiter));
+}
+
+/// Guards against a silent loop: whoever runs it reads what is wrong, discovery is not asked without end, and what was
+/// known serves.
+#[test]
+fn a_list_longer_than_its_memory_bears_is_refused_in_words_and_what_was_known_serves() {
+    let (one, counter) = (server(ok), counter());
+    let whole = long_list(&one, 12_000);
+    let agent = server(move |_, _, stream| reply(stream, "200 OK", &whole));
+    let mut setup = Setup::new(&[&one], &counter);
+    (setup.memory_mb, setup.discovery) = (8, Some(agent.address));
+    let mut limiter = setup.start();
+    let stderr = limiter.child.stderr.take().expect("it is piped");
+    let line = BufReader::new(stderr).lines().map_while(Result::ok).find(|l| l.contains("discovery"));
+    let line = line.expect("it says what is wrong");
+    assert!(line.contains("body too long") && line.contains("1048576 bytes"), "{line}");
+    agent.requests.try_iter().count();
+    let (start, mut calls) = (Instant::now(), 0);
+    while start.elapsed() < Duration::from_secs(2) {
+        calls += usize::from(agent.requests.recv_timeout(Duration::from_millis(100)).is_ok());
+    }
+    assert!((2..=40).contains(&calls), "{calls} calls in two seconds");
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -485,8 +485,9 @@
         }
         let first = self.servers.is_empty();
         if kind != ListKind::Delta {
+            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (id, server) in self.servers.iter_mut().enumerate() {
-                if let Some(server) = server.as_mut().filter(|_| !entries.iter().any(|e| e.server == id)) {
+                if let Some(server) = server.as_mut().filter(|_| !named.contains(&id)) {
                     (server.ready, server.gone) = (false, true);
                 }
             }
