--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -105,6 +105,8 @@
     up: bool,
     /// Its life: what is under way for an earlier one is lost with it.
     life: u32,
+    /// Discovery has answered it, and tells it of changes from then on.
+    watching: bool,
     /// Attempts of each open request, and the second in which it came.
     open: HashMap<RequestId, (u32, usize)>,
 }
@@ -317,8 +319,14 @@
         let seed = self.random.random();
         let gateway = Gateway::new(settings, seed, self.now);
         match self.limiters.get_mut(n) {
-            Some(limiter) => (limiter.gateway, limiter.up) = (gateway, true),
-            None => self.limiters.push(Limiter { gateway, up: true, life: 0, open: HashMap::new() }),
+            Some(limiter) => (limiter.gateway, limiter.up, limiter.watching) = (gateway, true, false),
+            None => self.limiters.push(Limiter {
+                gateway,
+                up: true,
+                life: 0,
+                watching: false,
+                open: HashMap::new(),
+            }),
         }
         let entries = self.entries();
         self.give(n, Event::Servers { kind: ListKind::Cached, entries });
@@ -359,7 +367,7 @@
     fn tell_all(&mut self, servers: &[usize]) {
         let entries: Vec<Entry> = servers.iter().map(|n| self.entry(*n)).collect();
         for n in 0..self.limiters.len() {
-            if self.limiters[n].up && !(self.failing && self.day.fault == Fault::Discovery) {
+            if self.limiters[n].up && self.limiters[n].watching {
                 self.give(n, Event::Servers { kind: ListKind::Delta, entries: entries.clone() });
             }
         }
@@ -388,7 +396,11 @@
                 limiter.open.clear();
                 let away = self.random.random_range(1_600 * MS..7_400 * MS);
                 self.at(self.now + away, 0, What::Return(n));
-            } else if self.day.fault == Fault::Discovery && self.day.deployment.ask {
+            } else if self.day.fault == Fault::Discovery {
+                self.limiters[n].watching = false;
+                if !self.day.deployment.ask {
+                    continue;
+                }
                 self.give(n, Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
             }
         }
@@ -404,6 +416,11 @@
         if !back.is_empty() {
             self.tell_all(&back);
         }
+        if self.day.fault == Fault::Discovery && !self.day.deployment.ask {
+            for n in 0..self.limiters.len() {
+                self.at(self.now + MS, self.limiters[n].life, What::List(n, true));
+            }
+        }
     }
 
     fn take(&mut self, life: u32, what: What) {
@@ -423,6 +440,7 @@
                 self.give(n, Event::Counted { name, status, total, latency });
             }
             What::List(n, answered) if alive(n, self) => {
+                self.limiters[n].watching |= answered;
                 let kind = if answered { ListKind::Full } else { ListKind::Failed };
                 let entries = if answered { self.entries() } else { Vec::new() };
                 self.give(n, Event::Servers { kind, entries });
