--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -75,6 +75,8 @@
 const COUNTER_RATE: f64 = 100_000.0;
 const DISCOVERY_RATE: f64 = 200.0;
 const USE: f64 = 0.5;
+/// Requests that a server can do in a second, at the least: before many servers each of them is not slower for it.
+const CAPACITY_LEAST: f64 = 10.0;
 
 /// What was counted in one second.
 #[derive(Debug, Clone, Copy, Default)]
@@ -259,7 +261,7 @@
             self.second().connections += 1;
             begun += 2 * way;
         }
-        let capacity = self.day.rate / USE / self.servers.len() as f64;
+        let capacity = (self.day.rate / USE / self.servers.len() as f64).max(CAPACITY_LEAST);
         let (apart, now) = (self.apart(n, zone), self.now);
         let state = &mut self.servers[server];
         let (status, done) = if !state.up || apart {
