--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -218,8 +218,7 @@
     let spread = SPREAD.min(plan.limiters);
     let clients: Vec<_> =
         dealt.into_iter().map(|ids| tokio::task::spawn_local(client(to, ids, spread))).collect();
-    let mut latency = Histogram::new(3).map_err(|e| Error::Io(io::Error::other(e.to_string())))?;
-    let mut served = 0;
+    let (mut latency, mut served) = (histogram()?, 0);
     for client in clients {
         let (took, good) = client.await.map_err(io::Error::other)??;
         served += good;
@@ -230,6 +229,11 @@
     Ok((latency, served))
 }
 
+/// Latencies from a microsecond to ten times a request's deadline.
+fn histogram() -> io::Result<Histogram<u64>> {
+    Histogram::new_with_bounds(1, DEADLINE_MS * 10_000, 3).map_err(|e| io::Error::other(e.to_string()))
+}
+
 /// Measures once.
 pub async fn measure(plan: &Plan, run: &mut Run) -> Result<(), Error> {
     let world = World::start(plan).await?;
@@ -253,8 +257,7 @@
 
     let direct = load_direct(&world, plan).await?;
     let (before, calls) = (total_cpu(&limiters), world.counter.1.calls.get());
-    let (mut latency, mut served) =
-        (Histogram::<u64>::new(3).map_err(|e| io::Error::other(e.to_string()))?, 0);
+    let (mut latency, mut served) = (histogram()?, 0);
     for (n, limiter) in limiters.iter().enumerate() {
         let (took, good) =
             load(limiter.address, plan.requests / limiters.len() as u64, plan, (n as u64 + 1) << 32).await?;
@@ -265,6 +268,8 @@
     run.put("request_cpu_ms", (total_cpu(&limiters) - before) * 1e3 / sent);
     run.put("served_share", served as f64 / sent);
     run.put("counter_calls_a_request", (world.counter.1.calls.get() - calls) as f64 / sent);
+    run.put("direct_ms_median", direct.value_at_quantile(0.5) as f64 / 1e3);
+    run.put("direct_ms_99", direct.value_at_quantile(0.99) as f64 / 1e3);
     let added = |q: f64| (latency.value_at_quantile(q) as f64 - direct.value_at_quantile(q) as f64) / 1e3;
     run.put("added_ms_median", added(0.5));
     run.put("added_ms_99", added(0.99));
