--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -131,11 +131,22 @@
         What::All(_) => all(&mut report)?,
         What::Real { servers, tenants, limiters, requests, program, .. } => {
             let program = program.map_or_else(real::program, Ok)?;
+            // What has several values is varied.
+            let axis = match (limiters.len(), tenants.len()) {
+                (2.., _) => "limiters",
+                (_, 2..) => "tenants",
+                _ => "servers",
+            };
+            let size = |limiters: u32, tenants: u32, servers: u32| match axis {
+                "limiters" => f64::from(limiters),
+                "tenants" => f64::from(tenants),
+                _ => f64::from(servers),
+            };
             for &limiters in &limiters {
                 for &tenants in &tenants {
                     for &servers in &servers {
                         let plan = plan(&program, (limiters, servers, tenants), requests, output.seed);
-                        real_run(&mut report, &plan, "servers", f64::from(servers))?;
+                        real_run(&mut report, &plan, axis, size(limiters, tenants, servers))?;
                     }
                 }
             }
@@ -144,6 +155,7 @@
             if !(rate.is_finite() && rate > 0.0 && changes.is_finite() && changes >= 0.0) {
                 return Err("--rate must be above nought and --changes not below it".into());
             }
+            let several = servers.len() > 1;
             for &limiters in &limiters {
                 for &servers in &servers {
                     let deployment = Deployment {
@@ -162,7 +174,8 @@
                         fault,
                         seed: output.seed,
                     };
-                    hollow_run(&mut report, day, "limiters", f64::from(limiters))?;
+                    let (axis, size) = if several { ("servers", servers) } else { ("limiters", limiters) };
+                    hollow_run(&mut report, day, axis, f64::from(size))?;
                 }
             }
         }
