Start processes one at a time under test, so that none holds a port that another needs

Seen: 3 of 20 repeats of telling.rs under load failed, and readiness.rs twice before; a limiter was not there, or told by the wrong side. With its errors shown: "listen: 127.171.198.190:39465: Address already in use". A process that is just being started still holds what the test has open, so the port that free_port() had looked up was taken for that moment. After a failed run the limiters of plays that were still going lived on, and one asked the next run's discovery: "4 requests to a server that drains" was the other's list. The program was at fault in neither.

--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -175,8 +175,16 @@
     Ipv4Addr::new(127, high | 0x80, low, u8::try_from(number % 254 + 1).expect("below 255"))
 }
 
+/// Held while a process is started, and while a port is looked for: a process that is just being started still holds
+/// whatever is open here, so that a port would look taken to the limiter that is to have it.
+pub fn starting() -> std::sync::MutexGuard<'static, ()> {
+    static STARTING: Mutex<()> = Mutex::new(());
+    STARTING.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 /// A port at which nobody listens, for the limiter to bind or to be refused by.
 pub fn free_port() -> SocketAddr {
+    let _no_start = starting();
     TcpListener::bind((own_ip(), 0)).and_then(|l| l.local_addr()).expect("a port")
 }
 
@@ -286,7 +294,7 @@
         let config = self.json(listen, at, &peers);
         let path = place(&config);
         Limiter {
-            child: limited(self.sockets).env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"),
+            child: start(limited(self.sockets).env("ROUTER_CONFIG", &path)),
             config,
             path,
             address: listen,
@@ -314,7 +322,7 @@
 
 /// Starts the program with a configuration, which it gets as a file.
 pub fn spawn(config: &str) -> Child {
-    command().env("ROUTER_CONFIG", place(config)).spawn().expect("the limiter starts")
+    start(command().env("ROUTER_CONFIG", place(config)))
 }
 
 /// The program, with nothing of the test's own environment that it would read.
@@ -329,6 +337,12 @@
     bare(command)
 }
 
+/// Starts a process, alone: see `starting`.
+pub fn start(command: &mut Command) -> Child {
+    let _alone = starting();
+    command.spawn().expect("it starts")
+}
+
 fn bare(mut command: Command) -> Command {
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"] {
         command.env_remove(name);
@@ -397,8 +411,8 @@
     }
 
     fn signal(&self, name: &str) {
-        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(done.expect("kill runs").success());
+        let mut kill = start(Command::new("kill").args([name, &self.child.id().to_string()]));
+        assert!(kill.wait().expect("kill runs").success());
     }
 
     /// Asks it to end.
--- a/limeway/tests/readiness.rs
+++ b/limeway/tests/readiness.rs
@@ -46,8 +46,10 @@
             (ask, mood, thread::spawn(play))
         })
         .collect();
+    // All are over, and their limiters gone, before any is judged.
+    let plays: Vec<_> = plays.into_iter().map(|(a, m, play)| (a, m, play.join())).collect();
     for (ask, mood, play) in plays {
-        let (took, status) = play.join().expect("it is played");
+        let (took, status) = play.expect("it is played");
         assert!(took.is_some(), "asked {ask}, {mood:?}: not ready in time");
         assert_eq!(status, 200, "asked {ask}, {mood:?}");
     }
@@ -77,8 +79,10 @@
             (ask, mood, thread::spawn(play))
         })
         .collect();
+    // All are over, and their limiters gone, before any is judged.
+    let plays: Vec<_> = plays.into_iter().map(|(a, m, play)| (a, m, play.join())).collect();
     for (ask, mood, play) in plays {
-        let (early, took, status) = play.join().expect("it is played");
+        let (early, took, status) = play.expect("it is played");
         assert_eq!(early, None, "asked {ask}, {mood:?}: ready with nothing to send to");
         assert!(took.is_some(), "asked {ask}, {mood:?}: not ready though discovery is back");
         assert_eq!(status, 200, "asked {ask}, {mood:?}");
--- a/limeway/tests/service.rs
+++ b/limeway/tests/service.rs
@@ -219,7 +219,7 @@
         assert_eq!(text.lines().count(), 1, "{text}");
         assert!(text.contains(key), "{key}: {text}");
     }
-    let output = command().output().expect("it ends");
+    let output = end_of(start(&mut command()));
     assert!(!output.status.success());
     assert!(
         String::from_utf8_lossy(&output.stderr).contains("ROUTER_CONFIG is not set")
--- a/limeway/tests/telling.rs
+++ b/limeway/tests/telling.rs
@@ -76,8 +76,10 @@
                 (ask, mood, stage, thread::spawn(move || outage(ask, mood, stage, length)))
             })
             .collect();
-        for (ask, mood, stage, play) in plays {
-            let took = play.join().expect("it is played");
+        // All are over, and their limiters gone, before any is judged.
+        let plays: Vec<_> = plays.into_iter().map(|(a, m, s, play)| (a, m, s, play.join())).collect();
+        for (ask, mood, stage, took) in plays {
+            let took = took.expect("it is played");
             let case = format!("asked {ask}, {mood:?} for {length} ms from its {stage:?} on");
             assert!(took.as_ref().is_ok_and(|took| *took < TOLD), "{case}: {took:?}");
         }
