Let one piece serve where tests and scale tests wrote the same again

A request of a customer in the module's scripted host, the question whether a limiter is ready, and a peer that writes in the tests of clients.rs each stood two or three times; a wrapper for the direct load and nested conditions on distances go. Assertions and figures stay as they are. No code of module or network changes.

--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -379,11 +379,7 @@
 impl Limiter {
     /// Whether it listens and says that it is ready.
     pub fn is_ready(&self) -> bool {
-        TcpStream::connect(self.address).is_ok_and(|stream| {
-            let mut client = Client::over(stream);
-            client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
-            client.read().is_some_and(|a| a.status() == 200)
-        })
+        TcpStream::connect(self.address).is_ok_and(|stream| Client::over(stream).is_told_ready())
     }
 
     /// Waits until it is ready.
@@ -442,9 +438,7 @@
 
     /// Whether it still answers.
     pub fn alive(&self) -> bool {
-        let mut client = self.client();
-        client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
-        client.read().is_some_and(|a| a.status() == 200)
+        self.client().is_told_ready()
     }
 }
 
@@ -474,6 +468,12 @@
         let _ = self.stream.write_all(text.as_bytes());
     }
 
+    /// Asks whether the limiter is ready.
+    fn is_told_ready(&mut self) -> bool {
+        self.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        self.read().is_some_and(|a| a.status() == 200)
+    }
+
     /// Reads an answer; nothing where the connection ends.
     pub fn read(&mut self) -> Option<Message> {
         read(&mut self.reader)
--- a/limeway/tests/unit/clients.rs
+++ b/limeway/tests/unit/clients.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::net::{Shutdown, TcpListener, TcpStream as Peer};
+use std::thread::JoinHandle;
 
 /// A client's end, and the connection as the limiter holds it, of which the runtime has heard nothing.
 fn pair() -> (Peer, Connection) {
@@ -26,18 +27,22 @@
     panic!("{} bytes have come of {bytes}", connection.buffer.len() + connection.cut);
 }
 
+/// Lets a peer write so many bytes; what does not fit into the system's buffers is written as the limiter reads.
+fn write(mut peer: Peer, bytes: usize, then: impl FnOnce(&Peer) + Send + 'static) -> JoinHandle<Peer> {
+    std::thread::spawn(move || {
+        peer.write_all(&vec![b'x'; bytes]).expect("it is read");
+        then(&peer);
+        peer
+    })
+}
+
 /// Guards against a request that waits to be accepted, or behind others, and is sent on though its client has left:
 /// its end stands behind what it wrote.
 #[tokio::test]
 async fn the_end_of_a_client_is_seen_behind_all_that_it_wrote() {
     for bytes in [0, 1, 200, 5_000, 300_000] {
-        let (mut peer, mut connection) = pair();
-        // What does not fit into the system's buffers is written as the limiter reads.
-        let writer = std::thread::spawn(move || {
-            peer.write_all(&vec![b'x'; bytes]).expect("it is read");
-            peer.shutdown(Shutdown::Write).expect("it ends");
-            peer
-        });
+        let (peer, mut connection) = pair();
+        let writer = write(peer, bytes, |peer| peer.shutdown(Shutdown::Write).expect("it ends"));
         assert!(!look(&mut connection, usize::MAX), "{bytes} bytes, then the end");
         assert_eq!(connection.buffer.len() + connection.cut, bytes, "nothing is lost before the end");
         drop(writer.join());
@@ -47,11 +52,8 @@
 #[tokio::test]
 async fn a_client_that_stays_is_taken_to_stay_whatever_it_wrote() {
     for bytes in [0, 1, 200, 5_000, 300_000] {
-        let (mut peer, mut connection) = pair();
-        let writer = std::thread::spawn(move || {
-            peer.write_all(&vec![b'x'; bytes]).expect("it is read");
-            peer
-        });
+        let (peer, mut connection) = pair();
+        let writer = write(peer, bytes, |_| {});
         assert!(look(&mut connection, bytes), "{bytes} bytes");
         let peer = writer.join().expect("it writes");
         assert!(connection.take_in(), "it is still there after {bytes} bytes");
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -205,13 +205,8 @@
 
     fn one_way(&self, limiter: usize, zone: usize) -> Micros {
         let here = limiter % self.day.deployment.all_zones();
-        ONE_WAY[if here == zone {
-            0
-        } else if self.region(here) == self.region(zone) {
-            1
-        } else {
-            2
-        }]
+        let borders = usize::from(here != zone) + usize::from(self.region(here) != self.region(zone));
+        ONE_WAY[borders]
     }
 
     fn apart(&self, limiter: usize, zone: usize) -> bool {
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -14,7 +14,7 @@
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout};
@@ -160,7 +160,6 @@
         head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("content-length:").map(str::to_owned));
     let length = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
     while buffer.len() < length {
-        use tokio::io::AsyncReadExt;
         if stream.read_buf(buffer).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
@@ -255,7 +254,8 @@
     run.put("rest_bytes_s", (world.bytes() - bytes) as f64 / plan.rest.as_secs_f64() / all);
     run.put("rest_list_calls_s", (world.discovery.seen.calls.get() - calls) as f64 / plan.rest.as_secs_f64());
 
-    let direct = load_direct(&world, plan).await?;
+    // The same requests at the server itself.
+    let (direct, _) = load(world.servers.0, plan.requests, plan, 0).await?;
     let (before, calls) = (total_cpu(&limiters), world.counter.1.calls.get());
     let (mut latency, mut served) = (histogram()?, 0);
     for (n, limiter) in limiters.iter().enumerate() {
@@ -286,11 +286,6 @@
     limiters.iter().map(|l| l.cpu().as_secs_f64()).sum()
 }
 
-/// The same requests at the server itself.
-async fn load_direct(world: &World, plan: &Plan) -> Result<Histogram<u64>, Error> {
-    Ok(load(world.servers.0, plan.requests, plan, 0).await?.0)
-}
-
 /// One server drains: how long until all have taken it in, and what that costs each.
 async fn change(world: &World, limiters: &[Limiter], run: &mut Run) {
     let before = total_cpu(limiters);
--- a/tests/combinations.rs
+++ b/tests/combinations.rs
@@ -15,18 +15,7 @@
     for n in 0..10 {
         for id in 0..100 {
             let id = 1_000 + n * 100 + id;
-            let customer = "flood".to_owned();
-            let (class, plan, left) = (0, 0, 4 * S);
-            host.give(Event::Request(Demand {
-                id,
-                class,
-                plan,
-                customer,
-                left,
-                units: 1.0,
-                spread: 2,
-                first: 0,
-            }));
+            host.ask_for("flood", 2, id, (0, 0, 4 * S));
         }
         host.ask(10 + n, 0, 0, 4 * S);
         host.wait(S);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -150,17 +150,19 @@
     }
 
     pub fn ask(&mut self, id: RequestId, class: usize, plan: usize, left: Micros) {
-        let customer = "choir".to_owned();
-        self.give(Event::Request(Demand {
-            id,
-            class,
-            plan,
-            customer,
-            left,
-            units: 1.0,
-            spread: 2,
-            first: 0,
-        }));
+        self.ask_for("choir", 2, id, (class, plan, left));
+    }
+
+    /// A request for one unit of a customer that comes in through so many gateways; its class, plan and time.
+    pub fn ask_for(
+        &mut self,
+        customer: &str,
+        spread: u32,
+        id: RequestId,
+        (class, plan, left): (usize, usize, Micros),
+    ) {
+        let (customer, units, first) = (customer.to_owned(), 1.0, 0);
+        self.give(Event::Request(Demand { id, class, plan, customer, left, units, spread, first }));
     }
 
     pub fn done(&mut self, id: RequestId, attempt: u32, server: ServerId, status: Status) {
--- a/tests/escrow.rs
+++ b/tests/escrow.rs
@@ -134,19 +134,7 @@
         for n in 0..200 {
             let host = &mut hosts[(n + step as usize * 7) % 200];
             if (step + n as u64).is_multiple_of(20) {
-                let (customer, units, spread) = (format!("club{}", step % 90), 1.0, 50);
-                let id = step;
-                let (class, plan, left) = (0, 0, S);
-                host.give(Event::Request(Demand {
-                    id,
-                    class,
-                    plan,
-                    customer,
-                    left,
-                    units,
-                    spread,
-                    first: 0,
-                }));
+                host.ask_for(&format!("club{}", step % 90), 50, step, (0, 0, S));
             }
             let before = host.calls.len();
             host.mode = if room > 0 { CounterMode::Answers } else { CounterMode::Silent };
