Divide descriptors by one rule and make room for clients ahead of need

Cause: `Clients::make_room` waited up to ACCEPT_WAIT in front of each accept, for one connection at a time, as `kept.min(most)` left nothing between "ends with its answer" and "full"; at 64 SOCKETS_ASIDE left clients four. Change: `descriptors.rs` divides all descriptors by one rule from 64 to 65,536 (a share for each owner, the rest to whoever needs it). `client_table.rs` keeps three marks apart: beyond the first a connection ends with its first answer, beyond the second the oldest without a request go as a batch, beyond the third new ones are turned away. Connections that are ending and those with a part of a request can be told to go as well, the latter last and with an answer. A client that has come back to its connection keeps it. `Retry-After` of what is turned away obeys the settings. `clients.rs` is split by concern on the way; request parsing moves unchanged.

--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -1,6 +1,7 @@
 //! The JSON configuration and the environment, checked; each error names its key.
 
 use crate::catalog::List;
+use crate::descriptors::SOCKETS_LEAST;
 use pondgw::Setup;
 use serde::Deserialize;
 use std::fmt;
@@ -109,9 +110,6 @@
     text.parse().map_err(|_| ConfigError::new(key, format!("is no address and port: {text}")))
 }
 
-/// Least number of descriptors with which the limiter can work at all.
-const SOCKETS_LEAST: usize = 64;
-
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
--- a/limeway/src/connection.rs
+++ b/limeway/src/connection.rs
@@ -1,5 +1,6 @@
 //! A connection of the limiter's own, to a server, the counter or discovery: one message there, one answer back.
 
+use crate::descriptors::Held;
 use crate::http::{self, Body};
 use bytes::BytesMut;
 use std::cell::Cell;
@@ -7,7 +8,6 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,23 +20,6 @@
 /// Largest buffer that an idle connection keeps, in bytes.
 const BUFFER_KEPT: usize = 4 * 1024;
 
-/// Counts what is open for as long as it lives.
-pub struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    /// One more.
-    pub fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 /// Why no answer came of a message.
 #[derive(Debug)]
 pub enum Broken {
@@ -97,21 +80,27 @@
     most: usize,
     /// Where it leads.
     pub to: SocketAddr,
-    _counted: Counted,
+    _held: Held,
 }
 
 impl Conn {
-    /// Opens a connection and counts it.
-    pub async fn open(to: SocketAddr, count: &Rc<Cell<usize>>) -> io::Result<Self> {
-        Self::open_for(to, count, http::ANSWER_BODY_MOST).await
+    /// Opens a connection; its descriptor is held for as long as it lives.
+    pub async fn open(to: SocketAddr, held: Held) -> io::Result<Self> {
+        Self::open_for(to, held, http::ANSWER_BODY_MOST).await
     }
 
     /// The same, for answers with bodies of so many bytes.
-    pub async fn open_for(to: SocketAddr, count: &Rc<Cell<usize>>, most: usize) -> io::Result<Self> {
-        let _counted = Counted::new(count);
+    pub async fn open_for(to: SocketAddr, held: Held, most: usize) -> io::Result<Self> {
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), most, to, _counted })
+        Ok(Conn {
+            stream,
+            buffer: BytesMut::with_capacity(1024),
+            since: Instant::now(),
+            most,
+            to,
+            _held: held,
+        })
     }
 
     /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::catalog::List;
 use crate::config::{Config, Places};
+use crate::descriptors::Descriptors;
 use crate::servers::{self, End, Forward, Pools, Served};
 use crate::{counter, peers};
 use pondgw::*;
@@ -126,6 +127,8 @@
     pub config: Config,
     /// The module's clock.
     pub clock: Clock,
+    /// Who may open connections.
+    pub descriptors: Rc<Descriptors>,
     /// Connections to servers.
     pub pools: Pools,
     /// Connections to the counter.
@@ -156,13 +159,14 @@
         config: Config,
         counter: Option<counter::Counter>,
         peers: Option<peers::Peers>,
-        connections: usize,
+        descriptors: Rc<Descriptors>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let gateway = Gateway::new(config.setup.settings.clone(), config.seed, clock.now());
         let core = Rc::new(Core {
-            pools: Pools::new(&config.setup, connections),
+            pools: Pools::new(&config.setup, descriptors.clone()),
             clock,
+            descriptors,
             counter,
             peers,
             places: Cell::new(config.places),
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::{Broken, Conn, Reply};
 use crate::core::Core;
+use crate::descriptors::{self, Held, Owner};
 use pondgw::{Event, Micros, Status};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
@@ -10,9 +11,6 @@
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
-/// Connections at most: the counter resets those beyond 32, and after a cut still holds as many that were
-/// given up here without its hearing of it.
-pub const CONNECTIONS_MOST: usize = 24;
 /// Time for which an idle connection is kept: the counter closes one after some 10 s or less, and a call that
 /// crosses this may or may not have been added.
 const IDLE_MOST: Duration = Duration::from_secs(3);
@@ -21,16 +19,26 @@
 pub struct Counter {
     address: Cell<SocketAddr>,
     limit: Duration,
-    idle: RefCell<Vec<Conn>>,
+    idle: RefCell<Vec<CounterConnection>>,
     /// Connections to the present address.
-    count: RefCell<Rc<Cell<usize>>>,
+    open: RefCell<Rc<Cell<usize>>>,
 }
 
+/// A connection, counted among those to its address.
+struct CounterConnection {
+    conn: Conn,
+    _open: Held,
+}
+
+/// Connections to one address at most: the counter resets those beyond 32, and after a cut still holds as many that
+/// were given up here without its hearing of it.
+const CONNECTIONS_MOST: usize = descriptors::COUNTER_MOST;
+
 impl Counter {
     /// The counter at an address; a call is given up after `limit`.
     pub fn new(address: SocketAddr, limit: Micros) -> Self {
         let limit = Duration::from_micros(limit);
-        Counter { address: Cell::new(address), limit, idle: RefCell::default(), count: RefCell::default() }
+        Counter { address: Cell::new(address), limit, idle: RefCell::default(), open: RefCell::default() }
     }
 
     /// Moves to another address: new calls go there, those under way finish where they are, and connections to
@@ -38,7 +46,7 @@
     pub fn move_to(&self, address: SocketAddr) {
         if self.address.replace(address) != address {
             self.idle.borrow_mut().clear();
-            self.count.replace(Rc::default());
+            self.open.replace(Rc::default());
         }
     }
 
@@ -49,7 +57,7 @@
         tokio::task::spawn_local(async move {
             let Some(counter) = &core.counter else { return };
             let (start, written) = (Instant::now(), Cell::new(false));
-            let ended = timeout(counter.limit, counter.exchange(name, amount, ttl, &written)).await;
+            let ended = timeout(counter.limit, counter.exchange(&core, (name, amount, ttl), &written)).await;
             let (status, total) = match ended {
                 Ok(ended) => ended,
                 Err(_) if written.get() => (Status::Timeout, 0.0),
@@ -61,25 +69,38 @@
         });
     }
 
-    fn take(&self) -> Option<Conn> {
+    fn take(&self) -> Option<CounterConnection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(conn) = idle.pop() {
-            if conn.idle() < IDLE_MOST && conn.quiet() {
-                return Some(conn);
+        while let Some(kept) = idle.pop() {
+            if kept.conn.idle() < IDLE_MOST && kept.conn.quiet() {
+                return Some(kept);
             }
         }
         None
     }
 
-    async fn exchange(&self, name: u64, amount: f64, ttl: Micros, written: &Cell<bool>) -> (Status, f64) {
-        let (address, count) = (self.address.get(), self.count.borrow().clone());
-        let mut conn = match self.take() {
-            Some(conn) => conn,
-            // Nothing was added where no connection may be opened.
-            None if count.get() >= CONNECTIONS_MOST => return (Status::Full, 0.0),
-            None => match Conn::open(address, &count).await {
-                Ok(conn) => conn,
-                Err(_) => return (Status::ConnectFailed, 0.0),
+    /// Opens a connection; says how the call ended where none can be had.
+    async fn open(&self, core: &Core) -> Result<CounterConnection, Status> {
+        let open = self.open.borrow().clone();
+        // Nothing was added where no connection may be opened.
+        let held = core.descriptors.try_hold(Owner::Counter).filter(|_| open.get() < CONNECTIONS_MOST);
+        let (held, _open) = (held.ok_or(Status::Full)?, Held::new(&open));
+        let conn = Conn::open(self.address.get(), held).await.map_err(|_| Status::ConnectFailed)?;
+        Ok(CounterConnection { conn, _open })
+    }
+
+    async fn exchange(
+        &self,
+        core: &Core,
+        (name, amount, ttl): (u64, f64, Micros),
+        written: &Cell<bool>,
+    ) -> (Status, f64) {
+        let address = self.address.get();
+        let mut call = match self.take() {
+            Some(kept) => kept,
+            None => match self.open(core).await {
+                Ok(opened) => opened,
+                Err(status) => return (status, 0.0),
             },
         };
         let mut message = Vec::with_capacity(128);
@@ -89,10 +110,10 @@
             "POST /v1/count/{name}?add={amount}&ttl_ms={ttl} HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
         );
         debug_assert!(done.is_ok(), "writing to memory cannot fail");
-        if conn.write(&message, written).await.is_err() {
+        if call.conn.write(&message, written).await.is_err() {
             return (Status::ConnectFailed, 0.0);
         }
-        let Reply { head, body, keep, .. } = match conn.read().await {
+        let Reply { head, body, keep, .. } = match call.conn.read().await {
             Ok(reply) => reply,
             Err(Broken::Ended(_)) => return (Status::Reset, 0.0),
             // Added, but the total cannot be read.
@@ -108,14 +129,14 @@
         };
         // A connection that has brought what makes no sense is of no further use.
         if keep && ended.0 != Status::Error && self.address.get() == address {
-            conn.rest();
-            self.idle.borrow_mut().push(conn);
+            call.conn.rest();
+            self.idle.borrow_mut().push(call);
         }
         ended
     }
 
     /// Lets go of connections that have stood idle too long or were closed from the other side.
     pub fn prune(&self) {
-        self.idle.borrow_mut().retain(|conn| conn.idle() < IDLE_MOST && conn.quiet());
+        self.idle.borrow_mut().retain(|kept| kept.conn.idle() < IDLE_MOST && kept.conn.quiet());
     }
 }
--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -8,6 +8,7 @@
 use crate::catalog::List;
 use crate::connection::{Broken, Conn, Reply};
 use crate::core::Core;
+use crate::descriptors::{self, Owner};
 use crate::http;
 use pondgw::{Event, ListKind, Setup};
 use std::cell::Cell;
@@ -31,7 +32,7 @@
 /// pushed: its agent answers at once, and what the agent has counts as told from the first moment on.
 const GRACE_PART: u32 = 2;
 /// Calls under way at most: as many as may be late one after the other within the time above.
-const CALLS_MOST: usize = 4;
+const CALLS_MOST: usize = descriptors::DISCOVERY_MOST;
 /// Bytes that a list may have as it comes, for each megabyte of the memory limit: an eighth, as it is held once as
 /// it is read, twice while that grows, and then as text and as rows. A row has some 126 bytes, so 64 MB bear a list
 /// of 60,000 servers.
@@ -249,7 +250,11 @@
     let exchange = async {
         let mut open = match kept.filter(Conn::quiet) {
             Some(open) => open,
-            None => Conn::open_for(core.places.get().discovery, &Rc::default(), most).await?,
+            None => {
+                let held = core.descriptors.try_hold(Owner::Discovery);
+                let held = held.ok_or_else(|| io::Error::other("all calls that may be open are"))?;
+                Conn::open_for(core.places.get().discovery, held, most).await?
+            }
         };
         open.write(message.as_bytes(), &Cell::new(false)).await?;
         let Reply { head, body, keep, .. } = open.read().await.map_err(|e| match e {
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -2,35 +2,33 @@
 #![forbid(unsafe_code)]
 
 mod catalog;
+mod client_connection;
+mod client_table;
 mod clients;
 mod config;
 mod connection;
 mod core;
 mod counter;
+mod descriptors;
 mod discovery;
 mod http;
 mod peers;
+mod request;
 mod servers;
 
 use crate::core::Core;
-use clients::Closing;
+use client_table::{ClientTable, Closing};
 use config::Config;
+use descriptors::Descriptors;
 use std::fmt::Display;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
-/// Descriptors set aside: standard streams, runtime and signals, listener, datagrams, discovery (8), those that
-/// are just closing (8), and the counter's.
-const SOCKETS_ASIDE: usize = 16 + counter::CONNECTIONS_MOST;
-/// Part of all descriptors that clients hold at most for requests.
-const CLIENTS_PART: usize = 3;
-/// Connections to servers beyond the open requests: each of these has one attempt out, and the rest stands idle to
-/// be used again.
-const SERVERS_MORE: usize = 8;
 /// Discovery has so long to answer; then what was known must do.
 const READY_MOST: Duration = Duration::from_secs(2);
 /// Time between two looks at idle connections.
@@ -85,17 +83,17 @@
     };
     let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
     let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
-    let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
-    let to_servers = (config.sockets / CLIENTS_PART + SERVERS_MORE).min(sockets / 2);
-    let clients = clients::Clients::new(sockets - to_servers, config.sockets / CLIENTS_PART);
+    let descriptors = Descriptors::divide(config.sockets);
+    let table = ClientTable::new(descriptors.clone());
     log::info!("limiter {} listens at {}", config.name, config.listen);
-    let core = Core::new(config, counter, peers, to_servers);
+    let core = Core::new(config, counter, peers, descriptors);
 
     spawn_local(core.clone().run_timers());
     spawn_local(discovery::run(core.clone()));
     spawn_local(peers::run(core.clone()));
     spawn_local(housekeeping(core.clone()));
-    let accepting = spawn_local(clients::run(core.clone(), clients.clone(), listener));
+    let stop_listening = Rc::new(Notify::new());
+    let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
     // Also while it ends, which may take as long as the longest deadline.
     let reloading = core.clone();
@@ -112,17 +110,17 @@
     core.end();
     let told = Instant::now();
     sleep(CLOSE_IDLE).await;
-    clients.close_idle(Closing::Used);
-    while told.elapsed() < LISTEN_ON.1 && clients.quiet_for() < LISTEN_ON.0 {
+    table.close_idle(Closing::Used);
+    while told.elapsed() < LISTEN_ON.1 && table.quiet_for() < LISTEN_ON.0 {
         sleep(Duration::from_millis(10)).await;
     }
     // What waits to be accepted was connected before: it is taken first.
-    clients.stop_listening();
+    stop_listening.notify_one();
     let _ = timeout(LISTEN_ON.0, accepting).await;
-    clients.close_idle(Closing::All);
+    table.close_idle(Closing::All);
     // Whatever has been taken is answered by its own deadline; ending before that would lose it.
     let mut answered = Instant::now();
-    while clients.open() > 0 && answered.elapsed() < LAST_MOST {
+    while table.open() > 0 && answered.elapsed() < LAST_MOST {
         if core.unanswered() > 0 {
             answered = Instant::now();
         }
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -3,6 +3,7 @@
 use crate::catalog::{Health, List};
 use crate::connection::{Broken, Conn, Reply};
 use crate::core::Core;
+use crate::descriptors::{Descriptors, Held, Owner};
 use pondgw::{Entry, Lifecycle, ListKind, Load, Micros, RequestId, ServerId, Setup, Status};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -53,6 +54,14 @@
     idle: Vec<Conn>,
 }
 
+/// A connection for an attempt.
+enum Taken {
+    /// One that stood idle.
+    Kept(Conn),
+    /// One may be opened to this address.
+    ToOpen(SocketAddr, Held),
+}
+
 /// The servers by number, with the connections to each.
 pub struct Pools {
     hosts: RefCell<Vec<Host>>,
@@ -60,22 +69,20 @@
     /// Numbers of servers that are gone and have nothing out, to be given again.
     free: RefCell<Vec<ServerId>>,
     zones: RefCell<Vec<String>>,
-    count: Rc<Cell<usize>>,
-    most: usize,
+    descriptors: Rc<Descriptors>,
     keep: Duration,
     dial_timeout: Duration,
 }
 
 impl Pools {
-    /// Empty pools that hold so many connections at most.
-    pub fn new(setup: &Setup, most: usize) -> Self {
+    /// Empty pools.
+    pub fn new(setup: &Setup, descriptors: Rc<Descriptors>) -> Self {
         Pools {
             hosts: RefCell::default(),
             numbers: RefCell::default(),
             free: RefCell::default(),
             zones: RefCell::new(setup.zones.clone()),
-            count: Rc::default(),
-            most,
+            descriptors,
             keep: Duration::from_micros(setup.keepalive) / IDLE_PART,
             dial_timeout: Duration::from_micros(setup.dial_timeout),
         }
@@ -156,8 +163,8 @@
         entries
     }
 
-    /// An idle connection that can be used, or the address to open one to.
-    fn take(&self, server: ServerId) -> Option<Result<Conn, SocketAddr>> {
+    /// An idle connection that can be used, or the address to open one to; nothing where neither is to be had.
+    fn take(&self, server: ServerId) -> Option<Taken> {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(server)?;
         // Of those that have rested, the one used last is the least likely to be closing, and the others can
@@ -168,15 +175,17 @@
             }
             let conn = host.idle.remove(at);
             if conn.idle() < self.keep && conn.quiet() {
-                return Some(Ok(conn));
+                return Some(Taken::Kept(conn));
             }
         }
         let address = host.address?;
-        if self.count.get() >= self.most {
+        loop {
+            if let Some(held) = self.descriptors.try_hold(Owner::Servers) {
+                return Some(Taken::ToOpen(address, held));
+            }
             let oldest = hosts.iter_mut().filter(|h| !h.idle.is_empty()).max_by_key(|h| h.idle[0].idle())?;
             oldest.idle.remove(0);
         }
-        Some(Err(address))
     }
 
     fn give_back(&self, server: ServerId, mut conn: Conn) {
@@ -284,22 +293,24 @@
 async fn attempt(core: &Core, start: &Start, written: &Cell<bool>) -> End {
     let pools = &core.pools;
     let mut conn = match pools.take(start.server) {
-        Some(Ok(conn)) => conn,
-        Some(Err(address)) => match timeout(pools.dial_timeout, Conn::open(address, &pools.count)).await {
-            Ok(Ok(conn)) => conn,
-            Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
-                core.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
-                return Status::Moot.into();
-            }
-            Ok(Err(e)) => {
-                log::debug!("server {} at {address} takes no connection: {e}", start.server);
-                return Status::ConnectFailed.into();
-            }
-            Err(_) => {
-                log::debug!("server {} at {address} takes no connection in time", start.server);
-                return Status::ConnectFailed.into();
+        Some(Taken::Kept(conn)) => conn,
+        Some(Taken::ToOpen(address, held)) => {
+            match timeout(pools.dial_timeout, Conn::open(address, held)).await {
+                Ok(Ok(conn)) => conn,
+                Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
+                    core.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
+                    return Status::Moot.into();
+                }
+                Ok(Err(e)) => {
+                    log::debug!("server {} at {address} takes no connection: {e}", start.server);
+                    return Status::ConnectFailed.into();
+                }
+                Err(_) => {
+                    log::debug!("server {} at {address} takes no connection in time", start.server);
+                    return Status::ConnectFailed.into();
+                }
             }
-        },
+        }
         // No address, or all connections that this process may hold are busy.
         None => return Status::Moot.into(),
     };
--- a/limeway/tests/unit/clients.rs
+++ b/limeway/tests/unit/client_connection.rs
@@ -1,6 +1,7 @@
-//! Tests of what only the inside of `clients` shows: what the system knows of a socket and the runtime does not yet.
+//! Tests of what only the inside of a connection shows: what the system knows of a socket and the runtime does not yet.
 
 use super::*;
+use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream as Peer};
 use std::thread::JoinHandle;
 
