Take the time that a request has waited to be read from its deadline

Cause: `Core::request` counts the deadline from when the request is read, while the client counts from when it sent it. Change: `loop_lag.rs` bounds the wait of what is read by the runtime's own parks and turns, `clients.rs` adds the time in which nothing could be accepted, `client_connection.rs` the time behind another request. What is over is turned away at once. The system itself tells a program no arrival times without unsafe code.

--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -52,6 +52,10 @@
     turned_away: bool,
     /// It has been told to go for others, and stands so among them to its end.
     evicted: Option<Place>,
+    /// When bytes were last read.
+    read_at: Instant,
+    /// Bound on the time that those had waited to be read.
+    waited: Duration,
     /// Requests in a row that were not valid.
     strikes: u32,
     /// Bytes behind the buffer that were thrown away: once it is used up, nothing more can be read.
@@ -62,17 +66,20 @@
 type ReceivedRequest = (Head, BytesMut, Vec<u8>);
 
 impl Connection {
-    /// A connection that has just been accepted.
-    pub fn new(stream: TcpStream, turned_away: bool) -> Self {
+    /// A connection that has just been accepted, after a wait of at most `waited`.
+    pub fn new(stream: TcpStream, waited: Duration, turned_away: bool) -> Self {
+        let now = Instant::now();
         Connection {
             stream,
             buffer: BytesMut::new(),
             out: Vec::new(),
-            since: Instant::now(),
+            since: now,
             fresh: true,
             reused: false,
             turned_away,
             evicted: None,
+            read_at: now,
+            waited,
             strikes: 0,
             cut: 0,
         }
@@ -81,8 +88,12 @@
     /// Serves the connection to its end.
     pub async fn serve(mut self, core: &Rc<Core>, table: &Rc<ClientTable>) {
         let _ = self.stream.set_nodelay(true);
+        // What is there already has waited with the connection.
+        if !self.take_in() {
+            return self.finish(table, LINGER_IDLE).await;
+        }
         loop {
-            let (head, bytes, body) = match self.read(table).await {
+            let (head, bytes, body) = match self.read(core, table).await {
                 Ok(Some(message)) => message,
                 Ok(None) => return self.finish(table, LINGER_IDLE).await,
                 Err(reject) => {
@@ -133,15 +144,19 @@
     }
 
     /// Reads a whole request; nothing where the client leaves, or the connection stands idle and must go.
-    async fn read(&mut self, table: &Rc<ClientTable>) -> Result<Option<ReceivedRequest>, Reject> {
-        if self.buffer.is_empty() && (self.cut > 0 || !self.first_bytes(table).await) {
+    async fn read(
+        &mut self,
+        core: &Core,
+        table: &Rc<ClientTable>,
+    ) -> Result<Option<ReceivedRequest>, Reject> {
+        if self.buffer.is_empty() && (self.cut > 0 || !self.first_bytes(core, table).await) {
             return Ok(None);
         }
         let left = if self.fresh { MESSAGE_MOST.saturating_sub(self.since.elapsed()) } else { MESSAGE_MOST };
         let place = Place::take(table, Phase::Partial);
         let received = tokio::select! {
             biased;
-            received = timeout(left, self.read_message()) => received,
+            received = timeout(left, self.read_message(core)) => received,
             () = place.evicted() => Ok(Err(Reject::TOO_MANY)),
         };
         if place.is_evicted() && !matches!(received, Ok(Ok(Some(_)))) {
@@ -151,7 +166,7 @@
     }
 
     /// Waits for the first bytes of a request; false where none will be read any more.
-    async fn first_bytes(&mut self, table: &Rc<ClientTable>) -> bool {
+    async fn first_bytes(&mut self, core: &Core, table: &Rc<ClientTable>) -> bool {
         self.release_buffers();
         let phase = match (self.fresh, self.reused) {
             (true, _) => Phase::Silent,
@@ -167,7 +182,7 @@
             let closing = table.closing() >= go;
             tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.buffer) => return self.note_first(&read),
+                read = self.stream.read_buf(&mut self.buffer) => return self.note_first(core, read),
                 () = table.close.notified(), if !closing => continue,
                 () = place.evicted() => {}
                 () = &mut idle => {}
@@ -179,7 +194,7 @@
                 return false;
             }
             let read = self.stream.read_buf(&mut self.buffer).await;
-            return self.note_first(&read);
+            return self.note_first(core, read);
         }
     }
 
@@ -194,23 +209,32 @@
     }
 
     /// Notes the first bytes of a request; false at the end of the connection.
-    fn note_first(&mut self, read: &std::io::Result<usize>) -> bool {
+    fn note_first(&mut self, core: &Core, read: std::io::Result<usize>) -> bool {
         self.reused = !self.fresh;
-        matches!(read, Ok(1..))
+        self.note_read(core, read)
+    }
+
+    /// Notes when bytes were read; false at the end of the connection.
+    fn note_read(&mut self, core: &Core, read: std::io::Result<usize>) -> bool {
+        let came = matches!(read, Ok(1..));
+        if came {
+            (self.read_at, self.waited) = (Instant::now(), core.lag.bound());
+        }
+        came
     }
 
-    async fn read_message(&mut self) -> Result<Option<ReceivedRequest>, Reject> {
+    async fn read_message(&mut self, core: &Core) -> Result<Option<ReceivedRequest>, Reject> {
         let head = loop {
             match http::request(&self.buffer)? {
                 Some(head) => break head,
-                None if !self.more().await => return Ok(None),
+                None if !self.more(core).await => return Ok(None),
                 None => {}
             }
         };
         let bytes = self.buffer.split_to(head.len);
         let mut body = Body::new(head.framing, http::BODY_MOST);
         while !body.take(&mut self.buffer)? {
-            if !self.more().await {
+            if !self.more(core).await {
                 return Ok(None);
             }
         }
@@ -224,11 +248,12 @@
         due && self.buffer.is_empty() && connection::quiet(&self.stream)
     }
 
-    async fn more(&mut self) -> bool {
+    async fn more(&mut self, core: &Core) -> bool {
         if self.cut > 0 {
             return false;
         }
-        matches!(self.stream.read_buf(&mut self.buffer).await, Ok(1..))
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        self.note_read(core, read)
     }
 
     /// Takes in what has come on the connection, by the system itself: what the runtime knows of the socket may be
@@ -240,6 +265,7 @@
             match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
                 Ok(0) => return false,
                 Ok(n) => {
+                    self.read_at = Instant::now();
                     self.buffer.extend_from_slice(&part[..n]);
                     if !self.cut_ahead() {
                         return false;
@@ -266,13 +292,20 @@
         core: &Rc<Core>,
         table: &ClientTable,
         name: Vec<u8>,
-        (demand, forward): (Demand, Forward),
+        (mut demand, forward): (Demand, Forward),
         last: bool,
     ) -> bool {
+        // The client counts its time from when it sent the request.
+        let waited = (self.read_at.elapsed() + self.waited).as_micros() as Micros;
         // One that waited to be accepted, or behind others on its connection, may have lost its client meanwhile.
         if !self.take_in() {
             return false;
         }
+        demand.left = demand.left.saturating_sub(waited);
+        if demand.left == 0 {
+            let close = last || self.ends(core, table);
+            return self.reject(core, &Reject::TOO_LATE, close).await;
+        }
         let Some((id, mut answer)) = core.request(&name, demand, forward) else {
             self.strikes += 1;
             let close = last || self.ends(core, table);
@@ -285,7 +318,7 @@
                 // The client's next request may come early; the end of its sending means that it has left. What
                 // is behind a full buffer is read all the same, or its leaving would stay unseen.
                 more = self.stream.read_buf(&mut self.buffer) => {
-                    let left = !matches!(more, Ok(1..));
+                    let left = !self.note_read(core, more);
                     if left || !self.cut_ahead() {
                         core.gone(id);
                         return false;
--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -3,9 +3,10 @@
 use crate::client_connection::Connection;
 use crate::client_table::ClientTable;
 use crate::core::Core;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -25,30 +26,42 @@
 
 /// Accepts connections until `stop` is notified, then closes the listener.
 pub async fn run(core: Rc<Core>, table: Rc<ClientTable>, listener: TcpListener, stop: Rc<Notify>) {
+    // Since when connections may have been waiting because none could be accepted.
+    let mut held_up: Option<Instant> = None;
     loop {
         table.make_room();
         if table.is_full() {
+            held_up.get_or_insert_with(Instant::now);
             let _ = timeout(ACCEPT_WAIT, table.ended.notified()).await;
             continue;
         }
+        let accept = poll_fn(|context| {
+            let polled = listener.poll_accept(context);
+            if polled.is_pending() {
+                held_up = None;
+            }
+            polled
+        });
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            accepted = accept => accepted,
             () = stop.notified() => return,
         };
         match accepted {
             Ok((stream, _)) => {
+                let waited = core.lag.bound().max(held_up.map_or(Duration::ZERO, |since| since.elapsed()));
                 let turned_away = table.turns_away();
                 let held = table.accept();
                 let (core, table) = (core.clone(), table.clone());
                 tokio::task::spawn_local(async move {
-                    Connection::new(stream, turned_away).serve(&core, &table).await;
+                    Connection::new(stream, waited, turned_away).serve(&core, &table).await;
                     drop(held);
                     table.ended.notify_waiters();
                 });
             }
             Err(e) => {
                 // Out of descriptors: idle ones go, and trying again at once would only spin.
+                held_up.get_or_insert_with(Instant::now);
                 core.log_limiter.warn(format_args!("accepting: {e}"));
                 core.pools.prune();
                 sleep(ACCEPT_WAIT).await;
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -4,6 +4,7 @@
 use crate::catalog::List;
 use crate::config::{Config, Places};
 use crate::descriptors::Descriptors;
+use crate::loop_lag::LoopLag;
 use crate::servers::{self, End, Forward, Pools, Served};
 use crate::{counter, peers};
 use pondgw::*;
@@ -12,6 +13,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{oneshot, Notify};
 
@@ -129,6 +131,8 @@
     pub clock: Clock,
     /// Who may open connections.
     pub descriptors: Rc<Descriptors>,
+    /// How long what is read may have waited.
+    pub lag: Arc<LoopLag>,
     /// Connections to servers.
     pub pools: Pools,
     /// Connections to the counter.
@@ -160,6 +164,7 @@
         counter: Option<counter::Counter>,
         peers: Option<peers::Peers>,
         descriptors: Rc<Descriptors>,
+        lag: Arc<LoopLag>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let gateway = Gateway::new(config.setup.settings.clone(), config.seed, clock.now());
@@ -167,6 +172,7 @@
             pools: Pools::new(&config.setup, descriptors.clone()),
             clock,
             descriptors,
+            lag,
             counter,
             peers,
             places: Cell::new(config.places),
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -12,6 +12,7 @@
 mod descriptors;
 mod discovery;
 mod http;
+mod loop_lag;
 mod peers;
 mod request;
 mod servers;
@@ -20,9 +21,11 @@
 use client_table::{ClientTable, Closing};
 use config::Config;
 use descriptors::Descriptors;
+use loop_lag::LoopLag;
 use std::fmt::Display;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
@@ -43,11 +46,18 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let lag = LoopLag::new();
+    let (parking, unparked) = (lag.clone(), lag.clone());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .on_thread_park(move || parking.on_park())
+        .on_thread_unpark(move || unparked.on_unpark())
+        .build();
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(e) => return fail(format!("runtime: {e}")),
     };
-    match LocalSet::new().block_on(&runtime, serve()) {
+    match LocalSet::new().block_on(&runtime, serve(lag)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(e),
     }
@@ -66,7 +76,7 @@
     signal(kind).map_err(|e| format!("signals: {e}"))
 }
 
-async fn serve() -> Result<(), String> {
+async fn serve(lag: Arc<LoopLag>) -> Result<(), String> {
     // Before all else: a signal that comes early must not find its default action, which ends the process.
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
@@ -86,12 +96,13 @@
     let descriptors = Descriptors::divide(config.sockets);
     let table = ClientTable::new(descriptors.clone());
     log::info!("limiter {} listens at {}", config.name, config.listen);
-    let core = Core::new(config, counter, peers, descriptors);
+    let core = Core::new(config, counter, peers, descriptors, lag);
 
     spawn_local(core.clone().run_timers());
     spawn_local(discovery::run(core.clone()));
     spawn_local(peers::run(core.clone()));
     spawn_local(housekeeping(core.clone()));
+    spawn_local(loop_lag::beat());
     let stop_listening = Rc::new(Notify::new());
     let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -416,6 +416,16 @@
         self.signal("-TERM");
     }
 
+    /// Stops the process where it is.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a stopped process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     /// Replaces its configuration and tells it so.
     pub fn reload(&self, config: &str) {
         let new = self.path.with_extension("new");
--- a/limeway/tests/unit/client_connection.rs
+++ b/limeway/tests/unit/client_connection.rs
@@ -11,7 +11,7 @@
     let peer = Peer::connect(listener.local_addr().expect("its address")).expect("a connection");
     let (stream, _) = listener.accept().expect("a connection");
     stream.set_nonblocking(true).expect("it is set");
-    (peer, Connection::new(TcpStream::from_std(stream).expect("a socket"), false))
+    (peer, Connection::new(TcpStream::from_std(stream).expect("a socket"), Duration::ZERO, false))
 }
 
 /// Looks until so many bytes have come or the client has left; the runtime gets no turn meanwhile.
