Give every zone a number of its own, and serve fleets of 1,024 of everything

Seen on reading for bounds: `ZONES_MOST` was 64, and zones beyond it shared the number of the last. The decisions take equal numbers for one zone, so a keyed request that may be repeated within its zone only could go out again in another. Each row also searched the zones one by one. Other bounds read: addresses of limiters, `known`, pools, catalog, server numbers and gateways have none below 65,536 (`spread` is 16 bits in a message between limiters). A plan's number is 8 bits in such a message: 256 plans at most where limiters talk; it is no list of limiters or servers, left as it is.

--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod request;
 mod servers;
+mod zones;
 
 use crate::core::Core;
 use client_table::{ClientTable, Closing};
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Broken, Conn, Reply};
 use crate::core::Core;
 use crate::descriptors::{Descriptors, Held, Owner};
+use crate::zones::Zones;
 use pondgw::{Entry, Lifecycle, ListKind, Load, Micros, RequestId, ServerId, Setup, Status};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -19,8 +20,6 @@
 /// Time for which a connection rests after an answer: what comes behind the answer must show before the next
 /// request is written, or it would be taken for that one's answer.
 const REST: Duration = Duration::from_millis(20);
-/// Zones at most.
-const ZONES_MOST: usize = 64;
 
 /// A client's request as it goes on to servers.
 #[derive(Debug)]
@@ -68,7 +67,7 @@
     numbers: RefCell<HashMap<String, ServerId>>,
     /// Numbers of servers that are gone and have nothing out, to be given again.
     free: RefCell<Vec<ServerId>>,
-    zones: RefCell<Vec<String>>,
+    zones: RefCell<Zones>,
     descriptors: Rc<Descriptors>,
     keep: Duration,
     dial_timeout: Duration,
@@ -81,7 +80,7 @@
             hosts: RefCell::default(),
             numbers: RefCell::default(),
             free: RefCell::default(),
-            zones: RefCell::new(setup.zones.clone()),
+            zones: RefCell::new(Zones::new(&setup.zones)),
             descriptors,
             keep: Duration::from_micros(setup.keepalive) / IDLE_PART,
             dial_timeout: Duration::from_micros(setup.dial_timeout),
@@ -128,13 +127,7 @@
             if let Some(listed) = listed.get_mut(server) {
                 *listed = true;
             }
-            let zone = zones.iter().position(|z| *z == row.site).unwrap_or_else(|| {
-                // The settings name the zones; others are strange and share a number once there are many.
-                if zones.len() < ZONES_MOST {
-                    zones.push(row.site.clone());
-                }
-                zones.len() - 1
-            });
+            let zone = zones.number(&row.site, server);
             let host = &mut hosts[server];
             let address = row.dial.parse().ok();
             host.ready = row.health == Health::Serving;
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -213,6 +213,8 @@
     pub gateways: u32,
     pub known: Known,
     pub memory_mb: u32,
+    /// Zones that the settings name.
+    pub zones: Vec<String>,
 }
 
 impl Setup {
@@ -231,6 +233,7 @@
             gateways: 2,
             known: Known::Servers,
             memory_mb: 192,
+            zones: vec!["a".into()],
         }
     }
 
@@ -248,12 +251,14 @@
             Known::Absent => String::new(),
         };
         let gateways = self.gateways;
-        let peers: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).collect();
+        // The other limiters of a large fleet need not be there: datagrams to them are lost.
+        let absent = (peers.len() as u32..gateways).map(|n| format!("\"127.0.0.1:{}\"", 20_000 + n));
+        let peers: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).chain(absent).collect();
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"peer_listen":{},"peers":[{}],
 "counter":"{}",{known}
-"settings":{{"balancers":{gateways},"me":0,"discovery":"{}","failure-domains":["a"],"zone":"a","round":4000,
+"settings":{{"balancers":{gateways},"me":0,"discovery":"{}","failure-domains":{:?},"zone":"a","round":4000,
 "family-info":{{"count-limit":2000000,"max-units":4,"may-count":true}},
 "permissions":{{"cancel":true,"dial-timeout":500000,"keepalive":{},"max-attempts":3,
 "max-retry-after":1000000,"may-duplicate":false,"may-tell":true,"retry-after":true{}}},
@@ -270,6 +275,7 @@
             peers.join(","),
             self.counter,
             if self.ask { "ask" } else { "push" },
+            self.zones,
             self.keepalive_us,
             self.permissions,
         )
--- a/limeway/tests/lists.rs
+++ b/limeway/tests/lists.rs
@@ -60,3 +60,35 @@
     assert!((2..=40).contains(&calls), "{calls} calls in two seconds");
     assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
 }
+
+/// Guards against a bound below 1,024 on limiters, servers, zones or the addresses of other limiters.
+#[test]
+fn fleets_of_350_and_1024_limiters_servers_and_zones_are_served() {
+    for size in [350, 1_024] {
+        let (one, two, counter) = (server(ok), server(ok), counter());
+        let rows: Vec<String> = (0..size)
+            .map(|n| {
+                let at = if n == size - 1 { two.address } else { one.address };
+                entry(&format!("s-{n:08x}"), at, "SERVING")
+                    .replace(r#""site":"a""#, &format!(r#""site":"z-{n}""#))
+            })
+            .collect();
+        let mut setup = Setup::new(&[], &counter);
+        (setup.known, setup.gateways) = (Known::Rows(rows.clone()), size);
+        setup.zones = (0..size).map(|n| format!("z-{n}")).collect();
+        let whole = list(1, true, &rows);
+        let (agent, news) = discovery(whole);
+        setup.discovery = Some(agent.address);
+        let limiter = setup.start();
+        let last = format!("spread={size},first={}", size - 1);
+        let asked = |id: &str| request("book", id, "team", 20_000).replace("spread=2,first=0", &last);
+        assert_eq!(limiter.client().ask(&asked("first")).status(), 200, "{size}");
+        // All but the last server drain: the last one is known, too.
+        let drained: Vec<String> =
+            rows[..rows.len() - 1].iter().map(|row| row.replace("SERVING", "DRAINING")).collect();
+        news.send(list(2, false, &drained)).expect("a watch");
+        while !agent.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=2&") {}
+        assert_eq!(limiter.client().ask(&asked("second")).status(), 200, "{size}");
+        assert_eq!(two.requests.try_iter().filter(|r| r.1.header("req-id") == Some("second")).count(), 1);
+    }
+}
