--- a/src/reports.rs
+++ b/src/reports.rs
@@ -73,7 +73,7 @@
         *self = Reports::default();
     }
 
-    /// How much longer than its fellows the server takes for a request, by the use that its requests make of it.
+    /// How much longer than its fellows the server takes for a request, by the use that requests make of it.
     fn slowness(&self, fleet: &Fleet) -> f64 {
         let weight = PRIOR * fleet.qps.max(LEAST.0);
         let ratio = (self.util + weight * fleet.work()) / (self.qps + weight);
@@ -85,8 +85,8 @@
         }
     }
 
-    /// What the server is believed to hold, in requests of its fellows: by its last report, which fades as the
-    /// server works off what it held.
+    /// What the server is believed to hold, in requests of its fellows: by its last report, which fades as
+    /// the server works off what it held.
     pub fn backlog(&self, fleet: &Fleet, now: Micros) -> f64 {
         let Some(at) = self.at else { return 0.0 };
         let backlog = self.held * self.slowness(fleet);
