--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 mod counter_pace;
 mod escrow;
 mod homes;
+mod slow_start;
 
 use crate::interface::*;
 use crate::reports::Fleet;
@@ -52,8 +53,6 @@
 const WATCH_WAIT: (Micros, Micros) = (500_000, 2_000_000);
 /// Wait before it is asked, in microseconds for each gateway: all may start, or be turned away, at once.
 const WATCH_SPREAD: Micros = 20_000;
-/// Share of the fall budget that is used: the rest covers uneven gateways and chance.
-const COLD_SHARE: f64 = 0.5;
 /// Least part of what is let through that servers are taken to be able to do where they report nothing.
 const ANSWERED_LEAST: f64 = 0.5;
 /// Further attempts for each first attempt, and the most saved up.
@@ -683,25 +682,4 @@
         self.limit = (limit * factor.clamp(0.5, CUT)).max(self.least);
         self.cut_at = now;
     }
-
-    /// Counts as cold since a time. A part of a first token by chance: hundreds of gateways that all start at
-    /// nought would all send at one moment, or none before it is warm.
-    fn begin_slow_start(&mut self, since: Micros, now: Micros, chance: u64) {
-        self.cold_since = Some(since);
-        self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
-    }
-
-    /// Fills this gateway's share of a cold server's fall budget, until it is warm.
-    fn fill_slow_start(&mut self, rules: &Rules, now: Micros, rate: f64) {
-        let Some(since) = self.cold_since else { return };
-        if now >= since + rules.cold {
-            self.cold_since = None;
-            return;
-        }
-        let share = (now - since) as f64 / rules.cold.max(1) as f64;
-        let warm = rules.cold_from + (1.0 - rules.cold_from) * share;
-        let budget = COLD_SHARE * rules.fall_multiple * warm * rate;
-        let most = (budget * rules.fall as f64 * SECOND / 2.0).max(1.0);
-        self.tokens.fill(budget, most, now);
-    }
 }
--- /dev/null
+++ b/src/rules/slow_start.rs
@@ -0,0 +1,30 @@
+//! Slow start: a cold server gets this gateway's part of what it can take without falling over.
+
+use crate::interface::{Micros, Rules};
+use crate::state::*;
+
+/// Share of the fall budget that is used: the rest covers uneven gateways and chance.
+const COLD_SHARE: f64 = 0.5;
+
+impl Server {
+    /// Counts as cold since a time. A part of a first token by chance: hundreds of gateways that all start at
+    /// nought would all send at one moment, or none before it is warm.
+    pub(super) fn begin_slow_start(&mut self, since: Micros, now: Micros, chance: u64) {
+        self.cold_since = Some(since);
+        self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
+    }
+
+    /// Fills this gateway's share of a cold server's fall budget, until it is warm.
+    pub(super) fn fill_slow_start(&mut self, rules: &Rules, now: Micros, rate: f64) {
+        let Some(since) = self.cold_since else { return };
+        if now >= since + rules.cold {
+            self.cold_since = None;
+            return;
+        }
+        let share = (now - since) as f64 / rules.cold.max(1) as f64;
+        let warm = rules.cold_from + (1.0 - rules.cold_from) * share;
+        let budget = COLD_SHARE * rules.fall_multiple * warm * rate;
+        let most = (budget * rules.fall as f64 * SECOND / 2.0).max(1.0);
+        self.tokens.fill(budget, most, now);
+    }
+}
