--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,12 +4,14 @@
 mod counter_pace;
 mod escrow;
 mod homes;
+mod membership;
 mod slow_start;
 
 use crate::interface::*;
 use crate::reports::Fleet;
 use crate::state::*;
 use counter_pace::{PACE_FIRST, PACE_SPAN};
+use membership::WATCH_WAIT;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two sweeps while anything is held, in microseconds: fine beside objectives of some 100 ms.
@@ -46,13 +48,6 @@
 const COLD_FIRST: f64 = 0.25;
 /// Requests that a server may report to hold, by the speed of its fellows, before it gets no more.
 const TOLD_MOST: f64 = 6.0;
-/// Wait before discovery is asked again after a failed call, in microseconds: at first, and at most. What it
-/// has counts as told after 6 s, whatever became of the calls before: 1.5 s for a call to prove late, one and
-/// a half times the longest wait, and 1.5 s for the next one's answer. The rule goes before the sum of all
-/// gateways' calls.
-const WATCH_WAIT: (Micros, Micros) = (500_000, 2_000_000);
-/// Wait before it is asked, in microseconds for each gateway: all may start, or be turned away, at once.
-const WATCH_SPREAD: Micros = 20_000;
 /// Least part of what is let through that servers are taken to be able to do where they report nothing.
 const ANSWERED_LEAST: f64 = 0.5;
 /// Further attempts for each first attempt, and the most saved up.
@@ -205,87 +200,6 @@
         }
     }
 
-    // ---- Servers: what discovery says, and what their answers say.
-
-    fn on_servers(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        let spread = WATCH_SPREAD * u64::from(self.set.gateways);
-        match kind {
-            ListKind::Failed => {
-                self.watch_in((self.watch_wait + spread).min(WATCH_WAIT.1), out);
-                self.watch_wait = (self.watch_wait * 2).min(WATCH_WAIT.1);
-                return;
-            }
-            ListKind::Cached if self.set.ask => self.watch_in(spread.min(WATCH_WAIT.1), out),
-            // An answer: of an earlier call, perhaps, and no other is wanted then.
-            _ => (self.watch_at, self.watch_wait) = (Micros::MAX, WATCH_WAIT.0),
-        }
-        let first = self.servers.is_empty();
-        if kind != ListKind::Delta {
-            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
-            for (id, server) in self.servers.iter_mut().enumerate() {
-                if let Some(server) = server.as_mut().filter(|_| !named.contains(&id)) {
-                    (server.ready, server.gone) = (false, true);
-                }
-            }
-        }
-        for entry in entries {
-            let chance = self.draw();
-            if self.servers.len() <= entry.server {
-                self.servers.resize_with(entry.server + 1, || None);
-            }
-            let (now, gateways) = (self.now, f64::from(self.set.gateways));
-            let known = self.servers[entry.server].is_some();
-            let server = self.servers[entry.server].get_or_insert_with(|| Server {
-                zone: entry.zone,
-                cell: entry.cell,
-                ready: entry.state == Lifecycle::Ready,
-                weight: entry.weight.max(0.01),
-                started: entry.started,
-                eject_for: EJECT.0,
-                answered: now,
-                limit: LIMIT_FIRST / gateways,
-                least: LIMIT_FIRST * LIMIT_LEAST / gateways,
-                busy: BUSY,
-                slow: 1.0,
-                ..Server::default()
-            });
-            let back = !server.ready && entry.state == Lifecycle::Ready;
-            let restarted = entry.started > server.started;
-            server.ready = entry.state == Lifecycle::Ready;
-            server.gone = entry.state == Lifecycle::Gone;
-            server.started = entry.started;
-            let recent = entry.started > 0 && now < entry.started + self.set.rules.cold;
-            if recent && (!known || restarted) || back || (!known && !first) {
-                // Guards any fresh process, however discovery words it. Since its start where that is told:
-                // the list may come late, and it warms meanwhile.
-                let fresh = entry.started > 0 && (!back || restarted);
-                server.begin_slow_start(if fresh { entry.started.min(now) } else { now }, now, chance);
-                server.reports.clear();
-                if restarted {
-                    server.outs.clear();
-                    server.health = Health::Up;
-                }
-            }
-        }
-        for server in 0..self.servers.len() {
-            self.reap(server);
-        }
-    }
-
-    /// Asks for a watch after a half to one and a half times this wait: calls that fail all at once must not
-    /// come back all at once, as one small discovery serves all gateways.
-    fn watch_in(&mut self, wait: Micros, out: &mut Vec<Action>) {
-        self.watch_at = self.now + wait / 2 + self.draw() % wait.max(1);
-        out.push(Action::Timer { at: self.watch_at, token: 0 });
-    }
-
-    /// Forgets a server that is gone once nothing is out there: ids may be ever new.
-    fn reap(&mut self, server: ServerId) {
-        if let Some(slot) = self.servers.get_mut(server) {
-            slot.take_if(|s| s.gone && s.outs.is_empty());
-        }
-    }
-
     /// Silence with work out is a symptom, before any time-out: a hung or vanished server, or a cut link.
     /// Only while others answer, since everything slow at once is no outlier.
     fn check_silence(&mut self) {
