--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 mod escrow;
 mod homes;
 mod membership;
+mod retries;
 mod selection;
 mod slow_start;
 
@@ -13,6 +14,7 @@
 use crate::state::*;
 use counter_pace::{PACE_FIRST, PACE_SPAN};
 use membership::WATCH_WAIT;
+use retries::RETRIES;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two sweeps while anything is held, in microseconds: fine beside objectives of some 100 ms.
@@ -45,8 +47,6 @@
 const EJECT: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Failures in a row that eject a server.
 const FAILURES: u32 = 3;
-/// Further attempts for each first attempt, and the most saved up.
-const RETRIES: (f64, f64) = (0.1, 10.0);
 /// Time constant of the rate of sends, in microseconds.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// Mean latency before anything is known, as a share of the objective.
@@ -227,8 +227,6 @@
         }
     }
 
-    // ---- Attempts.
-
     fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
         let Demand { id, class, plan, customer, left, units, spread, first } = demand;
         let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
@@ -313,190 +311,6 @@
         set_alarm(&mut self.alarms, request, id, end.max(self.now));
         out.push(Action::Send { id, server: at, timeout: 0 });
     }
-
-    fn on_outcome(&mut self, outcome: &Outcome, out: &mut Vec<Action>) {
-        let Outcome { id, attempt: number, server: at, status, latency, closed, load } = *outcome;
-        let class = self.requests.get(&id).map(|r| r.class);
-        let (now, outs) = (self.now, self.load().1);
-        let (usable, chance) = (self.servers.len() as f64, self.draw());
-        if let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) {
-            let was_out = server.outs.remove(&(id, number)).is_some();
-            self.fleet.take(&mut server.reports, &load, now);
-            if matches!(status, Status::Ok | Status::Error | Status::Full) {
-                server.answered = now;
-                server.eject_for = EJECT.0;
-                // Cold again only after signs of a restart: one connection that fell silent is none.
-                if server.health == Health::HalfOpen && server.broke {
-                    server.begin_slow_start(now, now, chance);
-                }
-                server.broke = false;
-                server.health = Health::Up;
-            }
-            match status {
-                Status::Ok => server.failures = 0,
-                // A full server may have room for another plan or class: its bound is left alone.
-                // A kept connection may have gone stale, so one reset tells little: a process that died
-                // refuses the next connections, and these never ran.
-                Status::Reset | Status::Error | Status::ConnectFailed | Status::Timeout => {
-                    server.failures += 1;
-                    server.broke |= status == Status::ConnectFailed;
-                    if server.failures >= FAILURES || server.health == Health::HalfOpen {
-                        server.eject(now);
-                    }
-                }
-                // A half-open test without an answer, or that was never made, proves nothing.
-                Status::Cancelled | Status::Moot if server.health == Health::HalfOpen => server.eject(now),
-                Status::Full | Status::Cancelled | Status::Moot => {}
-            }
-            if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
-                let (slo, took) = (self.set.classes[class].slo.max(1) as f64, latency as f64);
-                let least = server.least * usable;
-                server.busy += LEARN * (took / slo - server.busy);
-                server.slow += LEARN * ((took / self.latency[class].max(1.0)).min(10.0) - server.slow);
-                self.latency[class] += LEARN / 5.0 * (took - self.latency[class]);
-                let since = (now - self.answered.1) as f64;
-                let rate = self.answered.0 * (-since / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
-                self.answered = (rate, now);
-                if server.busy > BUSY && now > server.cut_at + (slo * CUT_EVERY) as u64 {
-                    server.cut(BUSY / server.busy, now);
-                } else if server.busy < BUSY && server.outs.len() as f64 + 1.0 >= server.limit * 0.75 {
-                    server.limit += server.least / 2.0 / server.limit;
-                }
-                // The same over all servers: one of many gateways hears too little of each to bound it alone.
-                self.busy += LEARN * (took / slo - self.busy);
-                if self.busy > ROOM_BUSY && now > self.cut_at + (slo * CUT_EVERY) as u64 {
-                    self.room = self.room.min(outs) * (ROOM_BUSY / self.busy).clamp(0.5, CUT);
-                    self.room = self.room.max(least);
-                    self.cut_at = now;
-                } else if self.busy < ROOM_BUSY && outs >= self.room * 0.75 {
-                    self.room += ROOM_GROW;
-                }
-            }
-        }
-        self.reap(at);
-        if closed {
-            return self.close(id, out);
-        }
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(attempt) = request.attempts.get_mut(number as usize) else { return };
-        if attempt.fate != Fate::Out {
-            return;
-        }
-        let proven = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
-        attempt.fate = if proven { Fate::NeverRan } else { Fate::MayHaveRun };
-        if request.attempts.iter().all(|a| a.fate != Fate::Out) {
-            self.retry(id, proven, out);
-        }
-    }
-
-    /// A stream is the client's once it has begun: no deadline runs, and other copies are withdrawn.
-    fn on_started(&mut self, id: RequestId, number: u32, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.stage = Stage::Streaming;
-        for (other, attempt) in (0..).zip(&mut request.attempts) {
-            if other == number {
-                if let Some(server) = self.servers[attempt.server].as_mut() {
-                    server.outs.remove(&(id, number));
-                    server.answered = self.now;
-                }
-            } else if attempt.fate == Fate::Out && !attempt.cancelled && self.set.permissions.cancel {
-                attempt.cancelled = true;
-                out.push(Action::Cancel { id, attempt: other });
-            }
-        }
-    }
-
-    /// Sends a further attempt where class, site and retry budget allow; ends the request where none is left.
-    fn retry(&mut self, id: RequestId, proven: bool, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let (class, allow) = (&self.set.classes[request.class], &self.set.permissions);
-        let out_now = request.attempts.iter().any(|a| a.fate == Fate::Out);
-        let effect = match (class.effect, request.attempts.iter().find(|a| a.fate != Fate::NeverRan)) {
-            (_, None) | (Effect::Safe, _) => true,
-            // It may go out as late as its connection comes up, and must do so while the key is known.
-            (Effect::Keyed, Some(a)) => self.now + self.set.round + allow.connect < a.sent + class.window,
-            (Effect::Unsafe, Some(_)) => false,
-        };
-        let allowed = effect
-            && (allow.second_copies || !out_now)
-            && (request.attempts.len() as u32) < allow.max_attempts
-            && (proven || self.retries >= 1.0)
-            && request.deadline > self.now + MARGIN * SWEEP;
-        if let Some(at) = allowed.then(|| self.choose(id)).flatten() {
-            self.retries -= if proven { 0.0 } else { 1.0 };
-            self.send(id, at, out);
-        } else if !out_now {
-            self.finish(id, out);
-        }
-    }
-
-    fn on_alarm(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.alarm = 0;
-        if request.stage == Stage::Streaming {
-            return;
-        } else if request.stage != Stage::Sent || self.now + MARGIN * SWEEP >= request.deadline {
-            return self.finish(id, out);
-        }
-        // An attempt sits at an ejected server: move on, with a copy or by withdrawing it first.
-        set_alarm(&mut self.alarms, request, id, request.deadline - MARGIN * SWEEP);
-        let stuck = request.attempts.iter().enumerate().find(|(_, a)| {
-            let server = self.servers[a.server].as_ref();
-            a.fate == Fate::Out && !a.cancelled && server.is_some_and(|s| s.health != Health::Up)
-        });
-        let Some((number, _)) = stuck else { return };
-        let safe = self.set.classes[request.class].effect != Effect::Unsafe;
-        if self.set.permissions.second_copies {
-            self.retry(id, false, out);
-        } else if safe && self.set.permissions.cancel && self.retries >= 1.0 {
-            request.attempts[number].cancelled = true;
-            out.push(Action::Cancel { id, attempt: number as u32 });
-        }
-    }
-
-    // ---- Final answer.
-
-    /// Ends a request: refused where a repeat is known to be harmless, failed otherwise.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        if request.attempts.iter().all(|a| a.fate == Fate::NeverRan) {
-            return self.refuse(id, 0, out);
-        }
-        out.push(Action::Fail { id });
-        self.close(id, out);
-    }
-
-    fn refuse(&mut self, id: RequestId, wait: Micros, out: &mut Vec<Action>) {
-        let allow = &self.set.permissions;
-        let retry_after = if allow.retry_after { wait.min(allow.max_retry_after) } else { 0 };
-        out.push(Action::Refuse { id, retry_after });
-        self.close(id, out);
-    }
-
-    /// Forgets a request; units that were never sent on go back.
-    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        self.alarms.remove(&(request.alarm, id));
-        self.ready.remove(&request.rank);
-        for (number, attempt) in request.attempts.iter().enumerate() {
-            if attempt.fate == Fate::Out && !attempt.cancelled && self.set.permissions.cancel {
-                out.push(Action::Cancel { id, attempt: number as u32 });
-            }
-        }
-        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        if request.stage == Stage::Waiting {
-            customer.waiting.retain(|w| w.peer.is_some() || w.id != id);
-            return;
-        }
-        customer.open -= 1.0;
-        if request.attempts.is_empty() {
-            customer.ceiling.level += request.units;
-            customer.store.level += request.units;
-            if let Some(held) = customer.escrow.get_mut(&request.window) {
-                *held += request.units;
-            }
-        }
-    }
 }
 
 fn set_alarm(alarms: &mut BTreeSet<(Micros, RequestId)>, request: &mut Request, id: RequestId, at: Micros) {
