--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //! Order: constants, state, escrow, ceiling, servers, cold start, attempts, final answer.
 
 mod counter_pace;
+mod ejection;
 mod escrow;
 mod homes;
 mod membership;
@@ -13,6 +14,7 @@
 use crate::reports::Fleet;
 use crate::state::*;
 use counter_pace::{PACE_FIRST, PACE_SPAN};
+use ejection::EJECT;
 use membership::WATCH_WAIT;
 use retries::RETRIES;
 use std::collections::{BTreeMap, BTreeSet};
@@ -41,12 +43,6 @@
 const ROOM_BUSY: f64 = 0.3;
 /// Growth of the bound on all that is out, in requests, with each fast answer while it is used.
 const ROOM_GROW: f64 = 0.25;
-/// Mean latencies without any answer after which a server counts as silent: base, and per request out.
-const SILENCE: (f64, f64) = (2.0, 6.0);
-/// Time for which an ejected server gets nothing, in microseconds: at first, and at most after doubling.
-const EJECT: (Micros, Micros) = (1_000_000, 8_000_000);
-/// Failures in a row that eject a server.
-const FAILURES: u32 = 3;
 /// Time constant of the rate of sends, in microseconds.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// Mean latency before anything is known, as a share of the objective.
@@ -195,38 +191,6 @@
         }
     }
 
-    /// Silence with work out is a symptom, before any time-out: a hung or vanished server, or a cut link.
-    /// Only while others answer, since everything slow at once is no outlier.
-    fn check_silence(&mut self) {
-        let (now, classes) = (self.now, self.latency.len().max(1) as f64);
-        let mean = self.latency.iter().sum::<f64>() / classes;
-        let quiet = |s: &Server| {
-            let Some(oldest) = s.outs.values().min() else { return false };
-            let patience = mean * s.slow.clamp(1.0, 3.0) * (SILENCE.0 + SILENCE.1 / s.outs.len() as f64);
-            now.saturating_sub(s.answered.max(*oldest)) as f64 > patience
-        };
-        let slo = self.set.classes.iter().map(|c| c.slo as f64).sum::<f64>() / classes;
-        let live = |s: &Server| s.health == Health::Up && now < s.answered + mean as u64;
-        let live = self.servers.iter().flatten().any(live);
-        let mut rescued = Vec::new();
-        for server in self.servers.iter_mut().flatten() {
-            if live && !matches!(server.health, Health::Ejected(_)) && quiet(server) {
-                server.eject(now);
-                rescued.extend(server.outs.keys().map(|k| k.0));
-            }
-            // Work that grows old without an answer tells of a jam before any latency does.
-            let age: f64 = server.outs.values().map(|sent| (now - sent) as f64).sum();
-            if age > slo * BUSY * server.outs.len() as f64 && now > server.cut_at + (slo * CUT_EVERY) as u64 {
-                server.cut(CUT, now);
-            }
-        }
-        for id in rescued {
-            if let Some(request) = self.requests.get_mut(&id) {
-                set_alarm(&mut self.alarms, request, id, now);
-            }
-        }
-    }
-
     fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
         let Demand { id, class, plan, customer, left, units, spread, first } = demand;
         let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
@@ -320,12 +284,6 @@
 }
 
 impl Server {
-    fn eject(&mut self, now: Micros) {
-        self.health = Health::Ejected(now + self.eject_for);
-        self.eject_for = (self.eject_for * 2).min(EJECT.1);
-        self.failures = 0;
-    }
-
     /// Lowers the bound on what is out. The floor guards against starving a server that is slow at any load.
     fn cut(&mut self, factor: f64, now: Micros) {
         let limit = self.limit.min(self.outs.len() as f64 + 1.0);
--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -14,32 +14,7 @@
         if let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) {
             let was_out = server.outs.remove(&(id, number)).is_some();
             self.fleet.take(&mut server.reports, &load, now);
-            if matches!(status, Status::Ok | Status::Error | Status::Full) {
-                server.answered = now;
-                server.eject_for = EJECT.0;
-                // Cold again only after signs of a restart: one connection that fell silent is none.
-                if server.health == Health::HalfOpen && server.broke {
-                    server.begin_slow_start(now, now, chance);
-                }
-                server.broke = false;
-                server.health = Health::Up;
-            }
-            match status {
-                Status::Ok => server.failures = 0,
-                // A full server may have room for another plan or class: its bound is left alone.
-                // A kept connection may have gone stale, so one reset tells little: a process that died
-                // refuses the next connections, and these never ran.
-                Status::Reset | Status::Error | Status::ConnectFailed | Status::Timeout => {
-                    server.failures += 1;
-                    server.broke |= status == Status::ConnectFailed;
-                    if server.failures >= FAILURES || server.health == Health::HalfOpen {
-                        server.eject(now);
-                    }
-                }
-                // A half-open test without an answer, or that was never made, proves nothing.
-                Status::Cancelled | Status::Moot if server.health == Health::HalfOpen => server.eject(now),
-                Status::Full | Status::Cancelled | Status::Moot => {}
-            }
+            server.note_outcome(status, now, chance);
             if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
                 let (slo, took) = (self.set.classes[class].slo.max(1) as f64, latency as f64);
                 let least = server.least * usable;
