--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,10 +80,9 @@
     busy: f64,
     cut_at: Micros,
     retries: f64,
-    rate: f64,
-    rate_at: Micros,
-    /// Rate of the requests served, and when it was that.
-    answered: (f64, Micros),
+    /// Rates of the requests let through and of those served.
+    rate: Rate,
+    answered: Rate,
     arrivals: u64,
 }
 
@@ -121,9 +120,8 @@
             busy: BUSY,
             cut_at: 0,
             retries: RETRIES.1,
-            rate: 0.0,
-            rate_at: now,
-            answered: (0.0, now),
+            rate: Rate::new(RATE_SPAN, now),
+            answered: Rate::new(RATE_SPAN, now),
             arrivals: 0,
         }
     }
--- a/src/rules/escrow.rs
+++ b/src/rules/escrow.rs
@@ -1,7 +1,7 @@
 //! Escrow: units leased from the window's count, spent here, forfeit at the window's edge; credit, ceiling.
 
 use super::homes::{HOME_ABSENT, HOME_WAIT};
-use super::{set_alarm, Gateway, RATE_SPAN, REMEMBER};
+use super::{set_alarm, Gateway, REMEMBER};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::VecDeque;
@@ -87,9 +87,7 @@
                 request.stage = Stage::Ready;
                 // The rate of what should go on, not of what does: where all servers count as cold, their
                 // shares would shrink with the sends, and the sends with the shares.
-                let passed = (self.now - self.rate_at) as f64;
-                self.rate = self.rate * (-passed / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
-                self.rate_at = self.now;
+                self.rate.note(self.now);
                 let patience = request.arrived + self.set.classes[request.class].slo;
                 let alarm = patience.saturating_sub(self.latency[request.class] as u64);
                 set_alarm(&mut self.alarms, request, item.id, alarm);
--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -21,9 +21,7 @@
                 server.busy += LEARN * (took / slo - server.busy);
                 server.slow += LEARN * ((took / self.latency[class].max(1.0)).min(10.0) - server.slow);
                 self.latency[class] += LEARN / 5.0 * (took - self.latency[class]);
-                let since = (now - self.answered.1) as f64;
-                let rate = self.answered.0 * (-since / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
-                self.answered = (rate, now);
+                self.answered.note(now);
                 if server.busy > BUSY && now > server.cut_at + (slo * CUT_EVERY) as u64 {
                     server.cut(BUSY / server.busy, now);
                 } else if server.busy < BUSY && server.outs.len() as f64 + 1.0 >= server.limit * 0.75 {
--- a/src/rules/selection.rs
+++ b/src/rules/selection.rs
@@ -1,6 +1,6 @@
 //! Selection: the server for an attempt, among those that may take it.
 
-use super::{Gateway, RATE_SPAN};
+use super::Gateway;
 use crate::interface::*;
 use crate::state::*;
 
@@ -27,14 +27,13 @@
         let group = first.map(|a| a.place);
         let now = self.now;
         let usable = self.servers.iter().flatten().filter(|s| s.ready).count();
-        let mut share = self.rate / usable.max(1) as f64;
+        let mut share = self.rate.last / usable.max(1) as f64;
         // What is asked may be more than servers can do: by what they report, or else by what they answer.
         // Not far below what is asked: where all are cold, little is answered as little is sent.
         if self.fleet.known() {
             share = share.min(1.0 / self.fleet.work() / f64::from(self.set.gateways.max(1)));
-        } else if self.answered.0 > 0.0 {
-            let answered = self.answered.0 * (-((now - self.answered.1) as f64) / RATE_SPAN).exp();
-            share = share.min((answered / usable.max(1) as f64).max(share * ANSWERED_LEAST));
+        } else if self.answered.last > 0.0 {
+            share = share.min((self.answered.at(now) / usable.max(1) as f64).max(share * ANSWERED_LEAST));
         }
         // Bounds below one request a server hold too: many gateways share a small fleet.
         let (limits, outs) = self.load();
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,33 @@
     }
 }
 
+/// An exponentially weighted rate of events.
+pub(crate) struct Rate {
+    /// Events a second when the last one came.
+    pub last: f64,
+    at: Micros,
+    /// Time constant, in microseconds.
+    span: f64,
+}
+
+impl Rate {
+    /// No events so far.
+    pub fn new(span: f64, now: Micros) -> Self {
+        Rate { last: 0.0, at: now, span }
+    }
+
+    /// Counts an event.
+    pub fn note(&mut self, now: Micros) {
+        self.last = self.at(now) + 1.0 / (self.span * SECOND);
+        self.at = now;
+    }
+
+    /// The rate at a time, if none has come since the last.
+    pub fn at(&self, now: Micros) -> f64 {
+        self.last * (-((now - self.at) as f64) / self.span).exp()
+    }
+}
+
 /// A customer as this gateway knows it.
 #[derive(Default)]
 pub(crate) struct Customer {
