Move limits on concurrency into a file of their own

src/rules/concurrency.rs takes over the bounds on what is out from src/rules.rs; the part of `on_outcome` that learns from a latency becomes `Gateway::learn_latency`, with the same steps in the same order. Files of src/rules/ use what their parent has.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,7 @@
-//! Every decision of the gateway; its interface is `src/interface.rs`, its plain state types `src/state.rs`.
-//! Order: constants, state, escrow, ceiling, servers, cold start, attempts, final answer.
+//! The gateway: its events, requests up to an attempt, and by concern, in `src/rules/`, its other decisions.
+//! Its interface is `src/interface.rs`, its plain state types are in `src/state.rs`.
 
+mod concurrency;
 mod counter_pace;
 mod ejection;
 mod escrow;
@@ -13,11 +14,11 @@
 use crate::interface::*;
 use crate::reports::Fleet;
 use crate::state::*;
+use concurrency::BUSY;
 use counter_pace::{PACE_FIRST, PACE_SPAN};
-use ejection::EJECT;
 use membership::WATCH_WAIT;
 use retries::RETRIES;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time between two sweeps while anything is held, in microseconds: fine beside objectives of some 100 ms.
 const SWEEP: Micros = 10_000;
@@ -27,22 +28,6 @@
 const REMEMBER: Micros = 50_000_000;
 /// Share of its objective that a request waits for the counter or the ceiling before it is refused.
 const PATIENCE: f64 = 0.4;
-/// Weight of a new latency in a mean: some ten answers make it up.
-const LEARN: f64 = 0.1;
-/// Requests out at a server from all gateways together, at first: a fleet driven too hard is slow to recover.
-const LIMIT_FIRST: f64 = 8.0;
-/// Share of the first limit below which a limit is never cut: slow answers at so little are not our queue.
-const LIMIT_LEAST: f64 = 0.5;
-/// Share of the objective that a mean latency may take before a limit falls: the tail is many times it.
-const BUSY: f64 = 0.2;
-/// Factor on a limit when it proves too much, at most.
-const CUT: f64 = 0.9;
-/// Share of the objective between two cuts of a limit: what was sent before the last cut has its say first.
-const CUT_EVERY: f64 = 0.25;
-/// Share of the objective for the mean over all servers: few answers, of uneven work, make it up.
-const ROOM_BUSY: f64 = 0.3;
-/// Growth of the bound on all that is out, in requests, with each fast answer while it is used.
-const ROOM_GROW: f64 = 0.25;
 /// Time constant of the rate of sends, in microseconds.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// Mean latency before anything is known, as a share of the objective.
@@ -156,6 +141,7 @@
         self.random >> 33
     }
 
+    /// Looks after what is due by now, and after customers for which something waits.
     fn sweep(&mut self, out: &mut Vec<Action>) {
         if self.watch_at <= self.now {
             self.watch_at = Micros::MAX;
@@ -189,6 +175,7 @@
         }
     }
 
+    /// A request has come: it waits for units of its customer's quota.
     fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
         let Demand { id, class, plan, customer, left, units, spread, first } = demand;
         let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
@@ -253,6 +240,7 @@
         true
     }
 
+    /// Sends an attempt to a server.
     fn send(&mut self, id: RequestId, at: ServerId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(server) = self.servers[at].as_mut() else { return };
@@ -280,12 +268,3 @@
     request.alarm = at.min(request.deadline.saturating_sub(MARGIN * SWEEP));
     alarms.insert((request.alarm, id));
 }
-
-impl Server {
-    /// Lowers the bound on what is out. The floor guards against starving a server that is slow at any load.
-    fn cut(&mut self, factor: f64, now: Micros) {
-        let limit = self.limit.min(self.outs.len() as f64 + 1.0);
-        self.limit = (limit * factor.clamp(0.5, CUT)).max(self.least);
-        self.cut_at = now;
-    }
-}
--- a/src/rules/ejection.rs
+++ b/src/rules/ejection.rs
@@ -1,5 +1,6 @@
 //! Ejection: servers that fail or fall silent get nothing for a time, then one request that tests them.
 
+use super::concurrency::{BUSY, CUT, CUT_EVERY};
 use super::*;
 
 /// Mean latencies without any answer after which a server counts as silent: base, and per request out.
--- a/src/rules/escrow.rs
+++ b/src/rules/escrow.rs
@@ -1,10 +1,7 @@
 //! Escrow: units leased from the window's count, spent here, forfeit at the window's edge; credit, ceiling.
 
 use super::homes::{HOME_ABSENT, HOME_WAIT};
-use super::{set_alarm, Gateway, REMEMBER};
-use crate::interface::*;
-use crate::state::*;
-use std::collections::VecDeque;
+use super::*;
 
 /// Difference of two totals, in units, that proves nothing: totals are exact to seven digits.
 const ROUNDING: f64 = 0.01;
--- a/src/rules/homes.rs
+++ b/src/rules/homes.rs
@@ -1,8 +1,6 @@
 //! Homes: where gateways may talk, one gateway of a customer leases for all of them, and the others ask it.
 
-use super::Gateway;
-use crate::interface::*;
-use crate::state::*;
+use super::*;
 
 /// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
 pub(super) const HOME_WAIT: Micros = 150_000;
--- a/src/rules/membership.rs
+++ b/src/rules/membership.rs
@@ -1,9 +1,8 @@
 //! Membership: the servers that discovery lists, and when it is asked again.
 
-use super::{Gateway, BUSY, EJECT, LIMIT_FIRST, LIMIT_LEAST};
-use crate::interface::*;
-use crate::state::*;
-use std::collections::BTreeSet;
+use super::concurrency::{BUSY, LIMIT_FIRST, LIMIT_LEAST};
+use super::ejection::EJECT;
+use super::*;
 
 /// Wait before discovery is asked again after a failed call, in microseconds: at first, and at most. What it
 /// has counts as told after 6 s, whatever became of the calls before: 1.5 s for a call to prove late, one and
--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -6,36 +6,18 @@
 pub(super) const RETRIES: (f64, f64) = (0.1, 10.0);
 
 impl Gateway {
+    /// An attempt has ended: its server is judged, and its request goes on or ends.
     pub(super) fn on_outcome(&mut self, outcome: &Outcome, out: &mut Vec<Action>) {
         let Outcome { id, attempt: number, server: at, status, latency, closed, load } = *outcome;
         let class = self.requests.get(&id).map(|r| r.class);
         let (now, outs) = (self.now, self.load().1);
-        let (usable, chance) = (self.servers.len() as f64, self.draw());
+        let chance = self.draw();
         if let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) {
             let was_out = server.outs.remove(&(id, number)).is_some();
             self.fleet.take(&mut server.reports, &load, now);
             server.note_outcome(status, now, chance);
             if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
-                let (slo, took) = (self.set.classes[class].slo.max(1) as f64, latency as f64);
-                let least = server.least * usable;
-                server.busy += LEARN * (took / slo - server.busy);
-                server.slow += LEARN * ((took / self.latency[class].max(1.0)).min(10.0) - server.slow);
-                self.latency[class] += LEARN / 5.0 * (took - self.latency[class]);
-                self.answered.note(now);
-                if server.busy > BUSY && now > server.cut_at + (slo * CUT_EVERY) as u64 {
-                    server.cut(BUSY / server.busy, now);
-                } else if server.busy < BUSY && server.outs.len() as f64 + 1.0 >= server.limit * 0.75 {
-                    server.limit += server.least / 2.0 / server.limit;
-                }
-                // The same over all servers: one of many gateways hears too little of each to bound it alone.
-                self.busy += LEARN * (took / slo - self.busy);
-                if self.busy > ROOM_BUSY && now > self.cut_at + (slo * CUT_EVERY) as u64 {
-                    self.room = self.room.min(outs) * (ROOM_BUSY / self.busy).clamp(0.5, CUT);
-                    self.room = self.room.max(least);
-                    self.cut_at = now;
-                } else if self.busy < ROOM_BUSY && outs >= self.room * 0.75 {
-                    self.room += ROOM_GROW;
-                }
+                self.learn_latency(at, class, latency as f64, outs);
             }
         }
         self.reap(at);
@@ -95,6 +77,7 @@
         }
     }
 
+    /// A request's time for something is over: for its first attempt, for a silent server, or altogether.
     pub(super) fn on_alarm(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.alarm = 0;
--- a/src/rules/selection.rs
+++ b/src/rules/selection.rs
@@ -1,8 +1,6 @@
 //! Selection: the server for an attempt, among those that may take it.
 
-use super::Gateway;
-use crate::interface::*;
-use crate::state::*;
+use super::*;
 
 /// Factor on the cost of a cold server that may be sent to.
 const COLD_FIRST: f64 = 0.25;
