Let servers, counter and peers report events upwards instead of using the core

`core.rs`, `servers.rs`, `counter.rs` and `peers.rs` used each other. Now the core calls the other three, and they report typed events (`network_event.rs`) through a sink, each taken in before the call returns, so that the order of events stays as it was. Attempts move out of `servers.rs` into `attempts.rs`, clock and log limiter out of `core.rs`; whether an attempt should still be written is a mark that the core clears where it asked the core before.

--- /dev/null
+++ b/limeway/src/attempts.rs
@@ -0,0 +1,190 @@
+//! Attempts at servers, and the outcome of each.
+
+use crate::clock::Clock;
+use crate::connection::{Broken, Conn, Reply};
+use crate::log_limiter::LogLimiter;
+use crate::network_event::{End, EventSink, NetworkEvent, Served};
+use crate::servers::{Pools, Taken};
+use pondgw::{Load, Micros, RequestId, ServerId, Status};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// A client's request as it goes on to servers.
+#[derive(Debug)]
+pub struct Forward {
+    /// Request line and headers, without the last empty line and what depends on the attempt.
+    pub head: Vec<u8>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// An attempt to be made.
+pub struct Start {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt.
+    pub number: u32,
+    /// Where it goes.
+    pub server: ServerId,
+    /// What is sent.
+    pub forward: Rc<Forward>,
+    /// Until when an answer is waited for, by the module's clock.
+    pub until: Micros,
+    /// Cleared once its request is over or it has been told to end: nothing is written from then on.
+    pub wanted: Rc<Cell<bool>>,
+}
+
+/// Makes attempts over the pools' connections.
+pub struct Attempts {
+    pools: Rc<Pools>,
+    clock: Rc<Clock>,
+    log_limiter: Rc<LogLimiter>,
+    sink: EventSink,
+}
+
+impl Attempts {
+    /// Attempts over these pools, whose ends go to the sink.
+    pub fn new(pools: Rc<Pools>, clock: Rc<Clock>, log_limiter: Rc<LogLimiter>, sink: EventSink) -> Rc<Self> {
+        Rc::new(Attempts { pools, clock, log_limiter, sink })
+    }
+
+    /// Makes an attempt and reports how it ended. `stopped` ends it before its time: its connection is closed by the
+    /// time of the report, so that no further attempt can overlap with it.
+    pub fn start(self: &Rc<Self>, start: Start, stopped: oneshot::Receiver<Status>) {
+        self.pools.count_out(start.server, true);
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let written = Cell::new(false);
+            let end = tokio::select! {
+                biased;
+                end = this.attempt(&start, &written) => end,
+                // Stopped before its last byte was handed over, it cannot have run.
+                status = stopped => {
+                    if written.get() { status.unwrap_or(Status::Cancelled) } else { Status::Moot }.into()
+                }
+            };
+            (this.sink)(NetworkEvent::AttemptEnded { id: start.id, number: start.number, end });
+            this.pools.count_out(start.server, false);
+        });
+    }
+
+    async fn attempt(&self, start: &Start, written: &Cell<bool>) -> End {
+        let pools = &self.pools;
+        let mut conn = match pools.take(start.server) {
+            Some(Taken::Kept(conn)) => conn,
+            Some(Taken::ToOpen(address, held)) => {
+                match timeout(pools.dial_timeout, Conn::open(address, held)).await {
+                    Ok(Ok(conn)) => conn,
+                    Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
+                        self.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
+                        return Status::Moot.into();
+                    }
+                    Ok(Err(e)) => {
+                        log::debug!("server {} at {address} takes no connection: {e}", start.server);
+                        return Status::ConnectFailed.into();
+                    }
+                    Err(_) => {
+                        log::debug!("server {} at {address} takes no connection in time", start.server);
+                        return Status::ConnectFailed.into();
+                    }
+                }
+            }
+            // No address, or all connections that this process may hold are busy.
+            None => return Status::Moot.into(),
+        };
+        // While the connection came up the client may have left, the attempt may have been told to end, and the
+        // server may have been drained or replaced: nothing is sent on then, and what is sound is kept for others.
+        if !start.wanted.get() {
+            pools.give_back(start.server, conn);
+            return Status::Moot.into();
+        }
+        if !pools.serves(start.server, conn.to) {
+            return Status::Moot.into();
+        }
+        // What is left now: the connection may have taken long to come up.
+        let message = message(&start.forward, start.until.saturating_sub(self.clock.now()));
+        if let Err(e) = conn.write(&message, written).await {
+            log::debug!("server {} broke off before the request was written: {e}", start.server);
+            // Broke before the last byte was handed over: it cannot have run.
+            return Status::ConnectFailed.into();
+        }
+        let Reply { head, bytes, body, keep } = match conn.read().await {
+            Ok(reply) => reply,
+            Err(Broken::Ended(e)) => {
+                log::debug!("server {} broke off: {e}", start.server);
+                pools.forget(start.server);
+                return Status::Reset.into();
+            }
+            // The server is well and has run the request: this connection goes, the others stay.
+            Err(e) => {
+                log::debug!("server {}: {e}", start.server);
+                return Status::Error.into();
+            }
+        };
+        let declined = head.header(&bytes, "srv-declined") == Some(b"1");
+        let status = match head.status {
+            200 => Status::Ok,
+            503 | 504 if declined => Status::Full,
+            _ => Status::Error,
+        };
+        if keep {
+            pools.give_back(start.server, conn);
+        }
+        let served = (status == Status::Ok).then(|| {
+            let mut headers = Vec::new();
+            head.copy_headers(&bytes, &PASSED_BACK, &mut headers);
+            Served { headers, body }
+        });
+        let load = head.header(&bytes, "srv-load").map(load).unwrap_or_default();
+        End { status, served, load }
+    }
+}
+
+/// Reads a load report. Pairs that cannot be read are passed over: the answer itself is good.
+fn load(text: &[u8]) -> Load {
+    let mut load = Load::default();
+    for pair in std::str::from_utf8(text).unwrap_or_default().split(',') {
+        if let Some((name, value)) = pair.split_once('=') {
+            if let Ok(value) = value.trim().parse() {
+                load.set(name.trim(), value);
+            }
+        }
+    }
+    load
+}
+
+/// Headers of an answer that go to the client: they tell how to read the body, or concern caches.
+const PASSED_BACK: [&str; 7] = [
+    "content-type",
+    "content-encoding",
+    "content-language",
+    "cache-control",
+    "etag",
+    "last-modified",
+    "vary",
+];
+
+/// System errors that speak of this process's own limits, not of the server: EMFILE, ENFILE, EADDRNOTAVAIL.
+const OWN_LIMITS: [i32; 3] = [24, 23, 99];
+
+/// The bytes of an attempt: the client's request, with the time that is left.
+fn message(forward: &Forward, left: Micros) -> Vec<u8> {
+    let mut digits = itoa::Buffer::new();
+    let mut message = Vec::with_capacity(forward.head.len() + forward.body.len() + 64);
+    message.extend_from_slice(&forward.head);
+    message.extend_from_slice(b"Req-Deadline-Ms: ");
+    message.extend_from_slice(digits.format((left / 1_000).max(1)).as_bytes());
+    if !forward.body.is_empty() || forward.head.starts_with(b"POST") {
+        message.extend_from_slice(b"\r\nContent-Length: ");
+        message.extend_from_slice(digits.format(forward.body.len()).as_bytes());
+    }
+    message.extend_from_slice(b"\r\n\r\n");
+    message.extend_from_slice(&forward.body);
+    message
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/attempts.rs"]
+mod tests;
--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -1,11 +1,11 @@
 //! One client's connection: requests are read in turn, and each gets exactly one answer.
 
+use crate::attempts::Forward;
 use crate::client_table::{ClientTable, Closing, Phase, Place};
 use crate::connection;
 use crate::core::{Answer, Core};
 use crate::http::{self, Body, Head};
 use crate::request::{self, ClientMessage, Reject};
-use crate::servers::Forward;
 use bytes::BytesMut;
 use pondgw::{Demand, Micros};
 use std::io::{ErrorKind, Read};
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -1,20 +1,23 @@
 //! The one `Gateway` with its events, actions, timers, and the table of open requests and attempts.
 //! Holds no policy: what the module asks for is carried out, within what the site permits.
 
+use crate::attempts::{Attempts, Forward, Start};
 use crate::catalog::List;
+use crate::clock::Clock;
 use crate::config::{Config, Places};
 use crate::descriptors::Descriptors;
+use crate::log_limiter::LogLimiter;
 use crate::loop_lag::LoopLag;
-use crate::servers::{self, End, Forward, Pools, Served};
+use crate::network_event::{End, EventSink, NetworkEvent, Served};
+use crate::servers::Pools;
 use crate::{counter, peers};
 use pondgw::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::fmt;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 
 /// Time before its deadline at which a request's attempts are ended: the module is done some 10 ms earlier,
@@ -32,28 +35,6 @@
 /// Timers beyond which, with four for each open request, those of requests that are over are dropped.
 const TIMERS_KEPT: usize = 1_024;
 
-/// The module's clock: Unix microseconds, which limiters agree on, carried on by a clock that never steps.
-pub struct Clock {
-    base: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-        Clock { base: unix.as_micros() as Micros, start: Instant::now() }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Micros {
-        self.base + self.start.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.base))
-    }
-}
-
 /// A request's final answer.
 #[derive(Debug)]
 pub enum Answer {
@@ -72,9 +53,19 @@
     sent: Micros,
     /// Ends the attempt with a status; nothing once it has been told to end.
     stop: Option<oneshot::Sender<Status>>,
+    /// Whether it should still be written.
+    wanted: Rc<Cell<bool>>,
     out: bool,
 }
 
+impl Attempt {
+    /// Tells it to end; false if it has been told before or is over.
+    fn end(&mut self, status: Status) -> bool {
+        self.wanted.set(false);
+        self.stop.take().is_some_and(|stop| stop.send(status).is_ok())
+    }
+}
+
 struct Open {
     /// The id that the client gave it.
     name: Rc<[u8]>,
@@ -104,41 +95,25 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
 }
 
-/// Warns once a second at most: whoever reads standard error may read slowly, and a full pipe would hold up the
-/// one thread.
-#[derive(Default)]
-pub struct LogLimiter {
-    last: Cell<Option<Instant>>,
-    left_out: Cell<u64>,
-}
-
-impl LogLimiter {
-    /// Warns, or counts what is left out.
-    pub fn warn(&self, text: fmt::Arguments) {
-        if self.last.get().is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
-            return self.left_out.set(self.left_out.get() + 1);
-        }
-        self.last.set(Some(Instant::now()));
-        log::warn!("{text} ({} warnings before were left out)", self.left_out.take());
-    }
-}
-
 /// What all tasks share.
 pub struct Core {
     /// What the program was told.
     pub config: Config,
     /// The module's clock.
-    pub clock: Clock,
+    pub clock: Rc<Clock>,
     /// Who may open connections.
     pub descriptors: Rc<Descriptors>,
     /// How long what is read may have waited.
     pub lag: Arc<LoopLag>,
     /// Connections to servers.
-    pub pools: Pools,
+    pub pools: Rc<Pools>,
+    attempts: Rc<Attempts>,
     /// Connections to the counter.
-    pub counter: Option<counter::Counter>,
+    pub counter: Option<Rc<counter::Counter>>,
     /// The way to other limiters.
-    pub peers: Option<peers::Peers>,
+    pub peers: Option<Rc<peers::Peers>>,
+    /// Where the parts that talk to the network report to.
+    pub sink: EventSink,
     /// Where discovery and the counter are at present.
     pub places: Cell<Places>,
     /// Discovery has moved.
@@ -152,7 +127,7 @@
     /// When that was.
     told: Cell<Micros>,
     /// For what could be told with each request.
-    pub log_limiter: LogLimiter,
+    pub log_limiter: Rc<LogLimiter>,
     state: RefCell<State>,
     timer: Notify,
 }
@@ -161,27 +136,58 @@
     /// The core, with the servers that were known when it started.
     pub fn new(
         config: Config,
-        counter: Option<counter::Counter>,
-        peers: Option<peers::Peers>,
+        peers: Option<Rc<peers::Peers>>,
         descriptors: Rc<Descriptors>,
         lag: Arc<LoopLag>,
     ) -> Rc<Self> {
-        let clock = Clock::new();
+        let core = Rc::new_cyclic(|core: &Weak<Core>| {
+            let core = core.clone();
+            let sink: EventSink = Rc::new(move |event| {
+                if let Some(core) = core.upgrade() {
+                    core.on_network(event);
+                }
+            });
+            Self::with_sink(config, peers, descriptors, lag, sink)
+        });
+        // Also where nothing is known: the module says when discovery is asked from then on.
+        let none = List { seq: 0, whole: true, hosts: Vec::new(), spoilt: 0 };
+        core.learn(ListKind::Cached, core.config.known.as_ref().unwrap_or(&none));
+        core
+    }
+
+    /// The core, whose parts report to this sink.
+    fn with_sink(
+        config: Config,
+        peers: Option<Rc<peers::Peers>>,
+        descriptors: Rc<Descriptors>,
+        lag: Arc<LoopLag>,
+        sink: EventSink,
+    ) -> Self {
+        let (clock, log_limiter) = (Rc::new(Clock::new()), Rc::new(LogLimiter::default()));
+        let limit = config.setup.settings.counter.as_ref().map_or(0, |counter| counter.limit);
+        let counter = config
+            .places
+            .counter
+            .map(|address| counter::Counter::new(address, limit, descriptors.clone(), sink.clone()));
+        let pools = Rc::new(Pools::new(&config.setup, descriptors.clone()));
+        let attempts = Attempts::new(pools.clone(), clock.clone(), log_limiter.clone(), sink.clone());
         let gateway = Gateway::new(config.setup.settings.clone(), config.seed, clock.now());
-        let core = Rc::new(Core {
-            pools: Pools::new(&config.setup, descriptors.clone()),
+        Core {
+            pools,
+            attempts,
             clock,
             descriptors,
             lag,
             counter,
             peers,
+            sink,
             places: Cell::new(config.places),
             moved: Notify::new(),
             watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
             told: Cell::new(0),
-            log_limiter: LogLimiter::default(),
+            log_limiter,
             state: RefCell::new(State {
                 gateway,
                 events: VecDeque::new(),
@@ -193,11 +199,7 @@
             }),
             timer: Notify::new(),
             config,
-        });
-        // Also where nothing is known: the module says when discovery is asked from then on.
-        let none = List { seq: 0, whole: true, hosts: Vec::new(), spoilt: 0 };
-        core.learn(ListKind::Cached, core.config.known.as_ref().unwrap_or(&none));
-        core
+        }
     }
 
     /// The process has been told to end.
@@ -234,6 +236,17 @@
         self.feed(Event::Servers { kind, entries });
     }
 
+    /// Takes in what has happened on the network.
+    fn on_network(self: &Rc<Self>, event: NetworkEvent) {
+        match event {
+            NetworkEvent::AttemptEnded { id, number, end } => self.attempt_ended(id, number, end),
+            NetworkEvent::Counted { name, status, total, latency } => {
+                self.feed(Event::Counted { name, status, total, latency })
+            }
+            NetworkEvent::PeerMessage { from, data } => self.feed(Event::Peer { from, data }),
+        }
+    }
+
     /// Gives the module an event and carries out what it wants done before the next one.
     pub fn feed(self: &Rc<Self>, event: Event) {
         let mut state = self.state.borrow_mut();
@@ -257,15 +270,13 @@
             Action::Send { id, server, timeout } => self.send(state, id, server, timeout),
             Action::Cancel { id, attempt } => {
                 let attempt = state.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
-                if let Some(stop) = attempt.and_then(|a| a.stop.take()) {
-                    let _ = stop.send(Status::Cancelled);
-                }
+                attempt.map(|a| a.end(Status::Cancelled));
             }
             Action::Refuse { id, retry_after } => state.answer(id, Answer::Refused(retry_after)),
             Action::Fail { id } => state.answer(id, Answer::Failed),
             Action::Timer { at, token } => self.set(state, at, Due::Module(token)),
             Action::Count { name, amount, ttl } => match &self.counter {
-                Some(counter) => counter.call(self, name, amount, ttl),
+                Some(counter) => counter.call(name, amount, ttl),
                 None => {
                     let status = Status::ConnectFailed;
                     state.events.push_back(Event::Counted { name, status, total: 0.0, latency: 0 });
@@ -306,18 +317,25 @@
         let copies = !allow.second_copies && open.attempts.iter().any(|a| a.out);
         if over || copies || number >= allow.max_attempts as usize {
             let closed = open.reply.is_none();
-            open.attempts.push(Attempt { server, sent: now, stop: None, out: false });
+            open.attempts.push(Attempt { server, sent: now, stop: None, wanted: Rc::default(), out: false });
             state.events.push_back(moot(number, closed));
             return;
         }
         let (stop, stopped) = oneshot::channel();
-        open.attempts.push(Attempt { server, sent: now, stop: Some(stop), out: true });
+        let wanted = Rc::new(Cell::new(true));
+        open.attempts.push(Attempt {
+            server,
+            sent: now,
+            stop: Some(stop),
+            wanted: wanted.clone(),
+            out: true,
+        });
         let (forward, number, deadline) = (open.forward.clone(), number as u32, open.deadline);
         if timeout > 0 && now + timeout < deadline {
             self.set(state, now + timeout, Due::Attempt(id, number));
         }
         let until = if timeout > 0 { deadline.min(now + timeout) } else { deadline };
-        servers::start(self.clone(), servers::Start { id, number, server, forward, until }, stopped);
+        self.attempts.start(Start { id, number, server, forward, until, wanted }, stopped);
     }
 
     /// A client's request has come whole. Gives its number and where its answer will come; nothing where another
@@ -362,15 +380,8 @@
         self.run(&mut state);
     }
 
-    /// Whether an attempt that is not written yet still should be: its request is open and nothing has ended it.
-    pub fn wanted(&self, id: RequestId, number: u32) -> bool {
-        let state = self.state.borrow();
-        let open = state.open.get(&id).filter(|o| o.reply.is_some());
-        open.and_then(|o| o.attempts.get(number as usize)).is_some_and(|a| a.stop.is_some())
-    }
-
     /// An attempt has ended; its connection is closed or back in its pool.
-    pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, end: End) {
+    fn attempt_ended(self: &Rc<Self>, id: RequestId, number: u32, end: End) {
         let End { status, served, load } = end;
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -447,9 +458,7 @@
                 Due::Attempt(id, number) => {
                     let open = state.open.get_mut(&id);
                     let attempt = open.and_then(|o| o.attempts.get_mut(number as usize));
-                    if let Some(stop) = attempt.and_then(|a| a.stop.take()) {
-                        let _ = stop.send(Status::Timeout);
-                    }
+                    attempt.map(|a| a.end(Status::Timeout));
                 }
                 Due::Guard(id) => self.guard(state, id, now),
             }
@@ -461,8 +470,8 @@
     fn guard(self: &Rc<Self>, state: &mut State, id: RequestId, now: Micros) {
         let Some(open) = state.open.get_mut(&id) else { return };
         let mut stopped = false;
-        for stop in open.attempts.iter_mut().filter_map(|a| a.stop.take()) {
-            stopped |= stop.send(Status::Timeout).is_ok();
+        for attempt in &mut open.attempts {
+            stopped |= attempt.end(Status::Timeout);
         }
         if open.reply.is_none() {
             return;
@@ -489,6 +498,7 @@
     fn take_reply(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
         let open = self.open.get_mut(&id)?;
         let reply = open.reply.take()?;
+        open.attempts.iter().for_each(|attempt| attempt.wanted.set(false));
         self.names.remove(&open.name);
         Some(reply)
     }
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -1,9 +1,9 @@
 //! Calls to the counter.
 
 use crate::connection::{Broken, Conn, Reply};
-use crate::core::Core;
-use crate::descriptors::{self, Held, Owner};
-use pondgw::{Event, Micros, Status};
+use crate::descriptors::{self, Descriptors, Held, Owner};
+use crate::network_event::{EventSink, NetworkEvent};
+use pondgw::{Micros, Status};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -19,6 +19,8 @@
 pub struct Counter {
     address: Cell<SocketAddr>,
     limit: Duration,
+    descriptors: Rc<Descriptors>,
+    sink: EventSink,
     idle: RefCell<Vec<CounterConnection>>,
     /// Connections to the present address.
     open: RefCell<Rc<Cell<usize>>>,
@@ -35,10 +37,22 @@
 const CONNECTIONS_MOST: usize = descriptors::COUNTER_MOST;
 
 impl Counter {
-    /// The counter at an address; a call is given up after `limit`.
-    pub fn new(address: SocketAddr, limit: Micros) -> Self {
+    /// The counter at an address; a call is given up after `limit`, and its end goes to the sink.
+    pub fn new(
+        address: SocketAddr,
+        limit: Micros,
+        descriptors: Rc<Descriptors>,
+        sink: EventSink,
+    ) -> Rc<Self> {
         let limit = Duration::from_micros(limit);
-        Counter { address: Cell::new(address), limit, idle: RefCell::default(), open: RefCell::default() }
+        Rc::new(Counter {
+            address: Cell::new(address),
+            limit,
+            descriptors,
+            sink,
+            idle: RefCell::default(),
+            open: RefCell::default(),
+        })
     }
 
     /// Moves to another address: new calls go there, those under way finish where they are, and connections to
@@ -50,14 +64,13 @@
         }
     }
 
-    /// Makes a call; the module hears of its end. Calls on one name never overlap: the module has one call out
+    /// Makes a call; its end is reported. Calls on one name never overlap: the module has one call out
     /// for a customer at a time, and no two customers share a name.
-    pub fn call(&self, core: &Rc<Core>, name: u64, amount: f64, ttl: Micros) {
-        let core = core.clone();
+    pub fn call(self: &Rc<Self>, name: u64, amount: f64, ttl: Micros) {
+        let counter = self.clone();
         tokio::task::spawn_local(async move {
-            let Some(counter) = &core.counter else { return };
             let (start, written) = (Instant::now(), Cell::new(false));
-            let ended = timeout(counter.limit, counter.exchange(&core, (name, amount, ttl), &written)).await;
+            let ended = timeout(counter.limit, counter.exchange((name, amount, ttl), &written)).await;
             let (status, total) = match ended {
                 Ok(ended) => ended,
                 Err(_) if written.get() => (Status::Timeout, 0.0),
@@ -65,7 +78,7 @@
             };
             let latency = start.elapsed().as_micros() as Micros;
             log::debug!("count {name} {amount}: {status:?} {total} after {latency} us");
-            core.feed(Event::Counted { name, status, total, latency });
+            (counter.sink)(NetworkEvent::Counted { name, status, total, latency });
         });
     }
 
@@ -80,25 +93,20 @@
     }
 
     /// Opens a connection; says how the call ended where none can be had.
-    async fn open(&self, core: &Core) -> Result<CounterConnection, Status> {
+    async fn open(&self) -> Result<CounterConnection, Status> {
         let open = self.open.borrow().clone();
         // Nothing was added where no connection may be opened.
-        let held = core.descriptors.try_hold(Owner::Counter).filter(|_| open.get() < CONNECTIONS_MOST);
+        let held = self.descriptors.try_hold(Owner::Counter).filter(|_| open.get() < CONNECTIONS_MOST);
         let (held, _open) = (held.ok_or(Status::Full)?, Held::new(&open));
         let conn = Conn::open(self.address.get(), held).await.map_err(|_| Status::ConnectFailed)?;
         Ok(CounterConnection { conn, _open })
     }
 
-    async fn exchange(
-        &self,
-        core: &Core,
-        (name, amount, ttl): (u64, f64, Micros),
-        written: &Cell<bool>,
-    ) -> (Status, f64) {
+    async fn exchange(&self, (name, amount, ttl): (u64, f64, Micros), written: &Cell<bool>) -> (Status, f64) {
         let address = self.address.get();
         let mut call = match self.take() {
             Some(kept) => kept,
-            None => match self.open(core).await {
+            None => match self.open().await {
                 Ok(opened) => opened,
                 Err(status) => return (status, 0.0),
             },
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -1,10 +1,12 @@
 //! limeway: a quota limiter on real sockets, round the decisions of `pondgw`. Start, signals, exit code.
 #![forbid(unsafe_code)]
 
+mod attempts;
 mod catalog;
 mod client_connection;
 mod client_table;
 mod clients;
+mod clock;
 mod config;
 mod connection;
 mod core;
@@ -12,7 +14,9 @@
 mod descriptors;
 mod discovery;
 mod http;
+mod log_limiter;
 mod loop_lag;
+mod network_event;
 mod peers;
 mod request;
 mod servers;
@@ -85,23 +89,23 @@
     let config = Config::load(env).map_err(|e| e.to_string())?;
     let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let peers = match &config.peers {
-        Some((address, all)) => Some(
-            peers::Peers::bind(*address, all.clone())
-                .await
-                .map_err(|e| format!("peer_listen: {address}: {e}"))?,
-        ),
+        Some((address, all)) => {
+            let bound = peers::Peers::bind(*address, all.clone()).await;
+            Some(Rc::new(bound.map_err(|e| format!("peer_listen: {address}: {e}"))?))
+        }
         None => None,
     };
-    let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
-    let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
     let descriptors = Descriptors::divide(config.sockets);
     let table = ClientTable::new(descriptors.clone());
     log::info!("limiter {} listens at {}", config.name, config.listen);
-    let core = Core::new(config, counter, peers, descriptors, lag);
+    let core = Core::new(config, peers, descriptors, lag);
 
     spawn_local(core.clone().run_timers());
     spawn_local(discovery::run(core.clone()));
-    spawn_local(peers::run(core.clone()));
+    if let Some(peers) = &core.peers {
+        let me = core.config.setup.settings.me as usize;
+        spawn_local(peers::run(peers.clone(), me, core.sink.clone()));
+    }
     spawn_local(housekeeping(core.clone()));
     spawn_local(loop_lag::beat());
     let stop_listening = Rc::new(Notify::new());
--- a/limeway/src/peers.rs
+++ b/limeway/src/peers.rs
@@ -1,7 +1,6 @@
 //! Datagrams between limiters.
 
-use crate::core::Core;
-use pondgw::Event;
+use crate::network_event::{EventSink, NetworkEvent};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,9 +36,9 @@
     }
 }
 
-/// Takes in messages, for ever. One from an address that is no limiter's, or of no sense, is dropped.
-pub async fn run(core: Rc<Core>) {
-    let Some(peers) = &core.peers else { return };
+/// Takes in messages for limiter number `me`, for ever. One from an address that is no limiter's, or of no sense, is
+/// dropped.
+pub async fn run(peers: Rc<Peers>, me: usize, sink: EventSink) {
     let mut data = [0; DATAGRAM_MOST + 1];
     loop {
         let (len, from) = match peers.socket.recv_from(&mut data).await {
@@ -52,9 +51,8 @@
             }
         };
         let number = peers.addresses.iter().position(|a| *a == from);
-        let me = core.config.setup.settings.me as usize;
         if let Some(number) = number.filter(|n| *n != me && len <= DATAGRAM_MOST) {
-            core.feed(Event::Peer { from: number as u32, data: data[..len].to_vec() });
+            sink(NetworkEvent::PeerMessage { from: number as u32, data: data[..len].to_vec() });
         }
     }
 }
--- a/limeway/tests/unit/servers.rs
+++ b/limeway/tests/unit/attempts.rs
@@ -1,4 +1,4 @@
-//! Tests of what only the inside of `servers` shows.
+//! Tests of what only the inside of `attempts` shows.
 
 use super::*;
 
