Give errors at start a type each, and say what an operator can do

`serve` returned plain strings; `StartError` names what failed, with the address and the system's words, and what to do. The prefixes that tests and operators know stay. Tests of bad configurations pass.

--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod request;
 mod servers;
+mod start_error;
 mod zones;
 
 use crate::core::Core;
@@ -27,7 +28,7 @@
 use config::Config;
 use descriptors::Descriptors;
 use loop_lag::LoopLag;
-use std::fmt::Display;
+use start_error::StartError;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -60,7 +61,7 @@
         .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
-        Err(e) => return fail(format!("runtime: {e}")),
+        Err(e) => return fail(StartError::Runtime(e)),
     };
     match LocalSet::new().block_on(&runtime, serve(lag)) {
         Ok(()) => ExitCode::SUCCESS,
@@ -72,26 +73,26 @@
     std::env::var(name).ok()
 }
 
-fn fail(reason: impl Display) -> ExitCode {
+fn fail(reason: StartError) -> ExitCode {
     eprintln!("limeway: {reason}");
     ExitCode::FAILURE
 }
 
-fn listen_for(kind: SignalKind) -> Result<Signal, String> {
-    signal(kind).map_err(|e| format!("signals: {e}"))
+fn listen_for(kind: SignalKind) -> Result<Signal, StartError> {
+    signal(kind).map_err(StartError::Signals)
 }
 
-async fn serve(lag: Arc<LoopLag>) -> Result<(), String> {
+async fn serve(lag: Arc<LoopLag>) -> Result<(), StartError> {
     // Before all else: a signal that comes early must not find its default action, which ends the process.
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
     let mut hangup = listen_for(SignalKind::hangup())?;
-    let config = Config::load(env).map_err(|e| e.to_string())?;
-    let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let config = Config::load(env)?;
+    let listener = clients::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
     let peers = match &config.peers {
         Some((address, all)) => {
             let bound = peers::Peers::bind(*address, all.clone()).await;
-            Some(Rc::new(bound.map_err(|e| format!("peer_listen: {address}: {e}"))?))
+            Some(Rc::new(bound.map_err(|e| StartError::ListenForPeers(*address, e))?))
         }
         None => None,
     };
