Answer what came whole before its connection was accepted, though its client sends no more

A health check or a wrong request that was all there before its connection was accepted got a close and no answer. Change: `read_waiting` reads up to the length of a request and leaves the end to the next read. A request proper is still not let in when its client has left. The test stops the process until three such messages are there; it got no answer before.

--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -35,6 +35,8 @@
 const CUT_MOST: usize = 1024 * 1024;
 /// Largest buffer that an idle connection keeps, in bytes.
 const BUFFER_KEPT: usize = 4 * 1024;
+/// Longest request that is kept while another is open, in bytes.
+const REQUEST_MOST: usize = http::HEAD_MOST + http::BODY_MOST;
 /// When who is turned away for want of room may come again, in microseconds: by then connections have ended.
 const TRY_AGAIN: Micros = 1_000_000;
 
@@ -88,10 +90,7 @@
     /// Serves the connection to its end.
     pub async fn serve(mut self, core: &Rc<Core>, table: &Rc<ClientTable>) {
         let _ = self.stream.set_nodelay(true);
-        // What is there already has waited with the connection.
-        if !self.take_in() {
-            return self.finish(table, LINGER_IDLE).await;
-        }
+        self.read_waiting();
         loop {
             let (head, bytes, body) = match self.read(core, table).await {
                 Ok(Some(message)) => message,
@@ -256,6 +255,21 @@
         self.note_read(core, read)
     }
 
+    /// Reads what is there already, up to the length of a request: it has waited with the connection. Its end is seen
+    /// when it is read on.
+    fn read_waiting(&mut self) {
+        let mut part = [0; BUFFER_KEPT];
+        while self.buffer.len() < REQUEST_MOST {
+            match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
+                Ok(n @ 1..) => {
+                    self.read_at = Instant::now();
+                    self.buffer.extend_from_slice(&part[..n]);
+                }
+                _ => return,
+            }
+        }
+    }
+
     /// Takes in what has come on the connection, by the system itself: what the runtime knows of the socket may be
     /// a turn old, and a client that wrote and left shows its end only behind what it wrote. False where it has
     /// left, or sends so far ahead that it is given up.
@@ -280,9 +294,8 @@
     /// Keeps what one request can take of what a client sends ahead, and counts the rest. False where that is too
     /// much.
     fn cut_ahead(&mut self) -> bool {
-        let kept = http::HEAD_MOST + http::BODY_MOST;
-        self.cut += self.buffer.len().saturating_sub(kept);
-        self.buffer.truncate(kept);
+        self.cut += self.buffer.len().saturating_sub(REQUEST_MOST);
+        self.buffer.truncate(REQUEST_MOST);
         self.cut <= CUT_MOST
     }
 
--- a/limeway/tests/service.rs
+++ b/limeway/tests/service.rs
@@ -370,6 +370,33 @@
     }
 }
 
+/// Guards against a wrong request that gets no error because its client is ahead of the limiter: it was all there,
+/// and the client's sending over, before its connection was accepted.
+#[test]
+fn what_came_whole_before_its_connection_was_accepted_gets_its_error_or_its_state() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    limiter.pause();
+    let too_long = format!(
+        "POST /once/00000000b4d65521 HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n{}",
+        "x".repeat(200_000)
+    );
+    let cases =
+        [("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", 200), ("x y\r\n\r\n", 400), (too_long.as_str(), 413)];
+    let mut clients: Vec<Client> = Vec::new();
+    for (text, _) in &cases {
+        let mut client = limiter.client();
+        client.write(text);
+        leave(&client, Leaving::HalfCloses);
+        clients.push(client);
+    }
+    limiter.resume();
+    for ((text, status), client) in cases.iter().zip(&mut clients) {
+        let answer = client.read();
+        assert_eq!(answer.map(|a| a.status()), Some(*status), "{}", &text[..10.min(text.len())]);
+    }
+}
+
 /// Guards against closing a useful connection to make room: one that has asked and is used goes on.
 #[test]
 fn a_connection_in_use_outlives_a_crowd() {
