--- a/limeway/tests/scarcity.rs
+++ b/limeway/tests/scarcity.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// Time that a request has amid a crowd: a small part of what one wait of 20 ms for each connection would add up to.
+/// Time that a request has amid a crowd: less than one wait of 20 ms for each connection of a round adds up to (4.8 s).
 const DEADLINE_MS: u64 = 4_000;
 /// Connections of each kind that come at once.
 const BURST: usize = 80;
