Keep a long busy time out of the deadlines of requests that come in it

Found on reading the change once more, in: the bound on the wait was kept by the runtime's hooks on parks, and these do not run while there is always something to do (`park_yield` in tokio 1). So the bound grew with the busy time: after 4 s of work a request that had just come told its server 15,988 ms of 20,000 (the new test, on that program), and after work for longer than its deadline it would have been turned away. Change: once a turn lasts 5 ms, `LoopLag::watch` yields once, which ends right after the runtime's next look at the network, and counts from there. An idle process wakes as often as before. Ruled out: a longer heartbeat or a cap, as both would take time from requests that did not wait.

--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -108,7 +108,7 @@
         spawn_local(peers::run(peers.clone(), me, core.sink.clone()));
     }
     spawn_local(housekeeping(core.clone()));
-    spawn_local(loop_lag::beat());
+    spawn_local(core.lag.clone().watch());
     let stop_listening = Rc::new(Notify::new());
     let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
--- a/limeway/tests/scarcity.rs
+++ b/limeway/tests/scarcity.rs
@@ -2,8 +2,11 @@
 
 mod common;
 use common::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Time that a request has amid a crowd: less than one wait of 20 ms for each connection of a round adds up to (4.8 s).
@@ -144,3 +147,41 @@
         assert_eq!(client.read().map(|answer| answer.body), Some(id.to_owned()));
     }
 }
+
+/// Keeps the limiter busy: sends questions for its state in large batches and takes the answers, until told to stop.
+fn keep_busy(limiter: &Limiter, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+    let batch = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n".repeat(500);
+    let client = || {
+        let (stream, batch, stop) = (limiter.client().stream, batch.clone(), stop.clone());
+        let mut answers = stream.try_clone().expect("a second handle");
+        let reader = std::thread::spawn(move || while answers.read(&mut [0; 65_536]).is_ok_and(|n| n > 0) {});
+        std::thread::spawn(move || {
+            let mut stream = stream;
+            while !stop.load(Ordering::SeqCst) && stream.write_all(batch.as_bytes()).is_ok() {}
+            hang_up(&stream);
+            reader.join().expect("it ends with the connection");
+        })
+    };
+    (0..4).map(|_| client()).collect()
+}
+
+/// Guards against a busy time that is taken for a wait of all that comes in it, however short that was.
+#[test]
+fn a_request_that_comes_while_the_limiter_is_busy_for_long_keeps_its_time() {
+    let (one, counter) = (server(serve_at_once), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let stop = Arc::new(AtomicBool::new(false));
+    let busy = keep_busy(&limiter, &stop);
+    // Not to order events: the busy time is what this is about.
+    std::thread::sleep(Duration::from_millis(4_000));
+    for n in 0..5 {
+        let answer = limiter.client().ask(&request_of(n, &format!("amid-{n}"), 20_000));
+        assert_eq!(answer.status(), 200);
+        let (_, message) = one.requests.recv_timeout(LONG).expect("it is sent on");
+        assert!(told(&message) > 17_500, "{} ms of 20,000 after 4 s of work", told(&message));
+    }
+    stop.store(true, Ordering::SeqCst);
+    for client in busy {
+        client.join().expect("it ends");
+    }
+}
