Charge a wait to what waited only, by one piece that reads without the runtime

Found on reading the change once more: `take_in` noted when bytes came but left the wait of those before them in place, so that the next request on a connection that was accepted late could lose that time again. `read_waiting` and `take_in` also held the same loop; both now use `read_ready`, which sets time and wait together. The condition on which an answer ends its connection stood four times beside `last`; `ends` takes that in. The new test of the wait fails if it is not set.

--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -8,7 +8,7 @@
 use crate::request::{self, ClientMessage, Reject};
 use bytes::BytesMut;
 use pondgw::{Demand, Micros};
-use std::io::{ErrorKind, Read};
+use std::io::{self, ErrorKind, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -106,7 +106,7 @@
             self.strikes = if asked.is_err() { self.strikes + 1 } else { 0 };
             let open = match asked {
                 Err(reject) => {
-                    let close = last || self.ends(core, table);
+                    let close = self.ends(core, table, last);
                     self.reject(core, &reject, close).await
                 }
                 Ok(ClientMessage::Health) => self.answer_health(core, table, last).await,
@@ -128,7 +128,7 @@
     }
 
     async fn answer_health(&mut self, core: &Core, table: &ClientTable, last: bool) -> bool {
-        let close = last || self.ends(core, table);
+        let close = self.ends(core, table, last);
         if core.ready.get() && !core.draining.get() {
             self.answer(200, b"", close, b"ready\n").await
         } else {
@@ -208,13 +208,13 @@
     }
 
     /// Notes the first bytes of a request; false at the end of the connection.
-    fn note_first(&mut self, core: &Core, read: std::io::Result<usize>) -> bool {
+    fn note_first(&mut self, core: &Core, read: io::Result<usize>) -> bool {
         self.reused = !self.fresh;
         self.note_read(core, read)
     }
 
     /// Notes when bytes were read; false at the end of the connection.
-    fn note_read(&mut self, core: &Core, read: std::io::Result<usize>) -> bool {
+    fn note_read(&mut self, core: &Core, read: io::Result<usize>) -> bool {
         let came = matches!(read, Ok(1..));
         if came {
             (self.read_at, self.waited) = (Instant::now(), core.lag.bound());
@@ -240,11 +240,11 @@
         Ok(Some((head, bytes, body.bytes)))
     }
 
-    /// Whether the connection ends with its answer, as the limiter is ending or there are too many; not where more
-    /// has come: a request behind this one is taken already.
-    fn ends(&self, core: &Core, table: &ClientTable) -> bool {
+    /// Whether the connection ends with its answer, as this is its last one, the limiter is ending or there are too
+    /// many; for the latter two not where more has come: a request behind this one is taken already.
+    fn ends(&self, core: &Core, table: &ClientTable, last: bool) -> bool {
         let due = core.draining.get() || (table.crowded() && !self.reused);
-        due && self.buffer.is_empty() && connection::quiet(&self.stream)
+        last || due && self.buffer.is_empty() && connection::quiet(&self.stream)
     }
 
     async fn more(&mut self, core: &Core) -> bool {
@@ -258,35 +258,35 @@
     /// Reads what is there already, up to the length of a request: it has waited with the connection. Its end is seen
     /// when it is read on.
     fn read_waiting(&mut self) {
-        let mut part = [0; BUFFER_KEPT];
-        while self.buffer.len() < REQUEST_MOST {
-            match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
-                Ok(n @ 1..) => {
-                    self.read_at = Instant::now();
-                    self.buffer.extend_from_slice(&part[..n]);
-                }
-                _ => return,
+        while self.buffer.len() < REQUEST_MOST && matches!(self.read_ready(self.waited), Ok(1..)) {}
+    }
+
+    /// Takes in what has come on the connection, after a wait of at most `waited`. Asks the system itself: what the
+    /// runtime knows of the socket may be a turn old, and a client that wrote and left shows its end only behind what
+    /// it wrote. False where it has left, or sends so far ahead that it is given up.
+    fn take_in(&mut self, waited: Duration) -> bool {
+        loop {
+            match self.read_ready(waited) {
+                Ok(0) => return false,
+                Ok(_) if !self.cut_ahead() => return false,
+                Ok(_) => {}
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
             }
         }
     }
 
-    /// Takes in what has come on the connection, by the system itself: what the runtime knows of the socket may be
-    /// a turn old, and a client that wrote and left shows its end only behind what it wrote. False where it has
-    /// left, or sends so far ahead that it is given up.
-    fn take_in(&mut self) -> bool {
+    /// Reads a part of what is there, by the system itself.
+    fn read_ready(&mut self, waited: Duration) -> io::Result<usize> {
         let mut part = [0; BUFFER_KEPT];
         loop {
             match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
-                Ok(0) => return false,
-                Ok(n) => {
-                    self.read_at = Instant::now();
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Ok(n @ 1..) => {
+                    (self.read_at, self.waited) = (Instant::now(), waited);
                     self.buffer.extend_from_slice(&part[..n]);
-                    if !self.cut_ahead() {
-                        return false;
-                    }
+                    return Ok(n);
                 }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return e.kind() == ErrorKind::WouldBlock,
+                end => return end,
             }
         }
     }
@@ -311,17 +311,17 @@
         // The client counts its time from when it sent the request.
         let waited = (self.read_at.elapsed() + self.waited).as_micros() as Micros;
         // One that waited to be accepted, or behind others on its connection, may have lost its client meanwhile.
-        if !self.take_in() {
+        if !self.take_in(core.lag.bound()) {
             return false;
         }
         demand.left = demand.left.saturating_sub(waited);
         if demand.left == 0 {
-            let close = last || self.ends(core, table);
+            let close = self.ends(core, table, last);
             return self.reject(core, &Reject::TOO_LATE, close).await;
         }
         let Some((id, mut answer)) = core.request(&name, demand, forward) else {
             self.strikes += 1;
-            let close = last || self.ends(core, table);
+            let close = self.ends(core, table, last);
             return self.reject(core, &Reject::ID_IN_USE, close).await;
         };
         let answer = loop {
@@ -339,7 +339,7 @@
                 },
             }
         };
-        let close = last || self.ends(core, table);
+        let close = self.ends(core, table, last);
         match answer {
             Answer::Served(served) => self.answer(200, &served.headers, close, &served.body).await,
             Answer::Refused(wait) => self.answer(429, &retry_after(core, wait), close, b"").await,
--- a/limeway/tests/unit/client_connection.rs
+++ b/limeway/tests/unit/client_connection.rs
@@ -17,7 +17,7 @@
 /// Looks until so many bytes have come or the client has left; the runtime gets no turn meanwhile.
 fn look(connection: &mut Connection, bytes: usize) -> bool {
     for _ in 0..10_000 {
-        if !connection.take_in() {
+        if !connection.take_in(Duration::ZERO) {
             return false;
         }
         if connection.buffer.len() + connection.cut >= bytes {
@@ -57,7 +57,7 @@
         let writer = write(peer, bytes, |_| {});
         assert!(look(&mut connection, bytes), "{bytes} bytes");
         let peer = writer.join().expect("it writes");
-        assert!(connection.take_in(), "it is still there after {bytes} bytes");
+        assert!(connection.take_in(Duration::ZERO), "it is still there after {bytes} bytes");
         drop(peer);
     }
 }
@@ -71,3 +71,14 @@
     drop(connection);
     writer.join().expect("it is cut off");
 }
+
+/// Guards against a wait that is charged to what came later: on a connection that was accepted late, to its next request.
+#[tokio::test]
+async fn what_is_taken_in_has_waited_as_long_as_the_loop_lets_it_and_no_longer() {
+    let (peer, mut connection) = pair();
+    connection.waited = Duration::from_secs(3);
+    let writer = write(peer, 200, |_| {});
+    assert!(look(&mut connection, 200));
+    assert_eq!(connection.waited, Duration::ZERO);
+    drop(writer.join());
+}
