--- a/limeway/tests/closing.rs
+++ b/limeway/tests/closing.rs
@@ -4,7 +4,7 @@
 use common::*;
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -94,3 +94,39 @@
         assert_eq!(attempts > 1, class == "look", "{class}: {attempts} attempts");
     }
 }
+
+/// Writes an answer that tells no length, its body in these pieces, and ends the connection in an orderly way.
+fn answer_without_length(stream: &mut TcpStream, pieces: &[&str]) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n");
+    for piece in pieces {
+        let _ = stream.write_all(piece.as_bytes());
+        thread::sleep(Duration::from_millis(2));
+    }
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
+/// Guards against good work that is thrown away: an orderly end is the end of an answer that tells no length.
+#[test]
+fn an_answer_without_a_length_that_comes_whole_is_forwarded() {
+    let long = "x".repeat(100_000);
+    for (class, pieces) in [
+        ("look", vec!["whole"]),
+        ("book", vec!["in ", "three ", "pieces"]),
+        ("once", vec!["o", "n", "c", "e"]),
+        ("look", vec![long.as_str(), "and its end"]),
+    ] {
+        let text = pieces.concat();
+        let sent: Vec<String> = pieces.iter().map(|piece| (*piece).to_owned()).collect();
+        let one = server(move |_, _, stream| {
+            let pieces: Vec<&str> = sent.iter().map(String::as_str).collect();
+            answer_without_length(stream, &pieces);
+        });
+        let counter = counter();
+        let limiter = Setup::new(&[&one], &counter).start();
+        for n in 0..10 {
+            let answer = limiter.client().ask(&request(class, &n.to_string(), "team", 9000));
+            assert_eq!((answer.status(), answer.body == text), (200, true), "{class}, request {n}");
+        }
+        assert_eq!(one.requests.try_iter().count(), 10, "{class}: one attempt each");
+    }
+}
