Forward answers without a length that end with their connection

Change: such a body is read up to the orderly end of its connection, with the old bounds on length and pauses. A reset is no end. It counts as cut, and the attempt as one that may have run, if it is empty, if it holds the first line of another answer, or if its server went down with it: not listed any more, an attempt there reset since this one began, an idle connection there reset, or all idle ones ended. A total of the counter that ends so stays unreadable.

A test was wrong: a_reset_is_no_end_of_an_answer_without_a_length ended its sending before it reset the connection, so what the limiter saw first was an orderly end. It now resets (common::reset), as does the discovery stand-in that says it does; both check what they checked.

--- a/limeway/src/attempts.rs
+++ b/limeway/src/attempts.rs
@@ -2,12 +2,14 @@
 
 use crate::clock::Clock;
 use crate::connection::{Broken, Conn, Reply};
+use crate::http;
 use crate::log_limiter::LogLimiter;
 use crate::network_event::{End, EventSink, NetworkEvent, Served};
 use crate::servers::{Pools, Taken};
 use pondgw::{Load, Micros, RequestId, ServerId, Status};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -70,8 +72,14 @@
         });
     }
 
+    /// Whether a body that ended with its connection is the whole answer to its request, as far as that can be told:
+    /// it is if the server lives on, and if no second answer is hidden in it.
+    fn is_whole(&self, server: ServerId, began: Instant, body: &[u8]) -> bool {
+        !body.is_empty() && !http::holds_status_line(body) && self.pools.is_alive(server, began)
+    }
+
     async fn attempt(&self, start: &Start, written: &Cell<bool>) -> End {
-        let pools = &self.pools;
+        let (pools, began) = (&self.pools, Instant::now());
         let mut conn = match pools.take(start.server) {
             Some(Taken::Kept(conn)) => conn,
             Some(Taken::ToOpen(address, held)) => {
@@ -110,11 +118,11 @@
             // Broke before the last byte was handed over: it cannot have run.
             return Status::ConnectFailed.into();
         }
-        let Reply { head, bytes, body, keep } = match conn.read().await {
+        let Reply { head, bytes, body, keep, ended_by_close } = match conn.read().await {
             Ok(reply) => reply,
             Err(Broken::Ended(e)) => {
                 log::debug!("server {} broke off: {e}", start.server);
-                pools.forget(start.server);
+                pools.note_reset(start.server);
                 return Status::Reset.into();
             }
             // The server is well and has run the request: this connection goes, the others stay.
@@ -123,6 +131,10 @@
                 return Status::Error.into();
             }
         };
+        if ended_by_close && head.status == 200 && !self.is_whole(start.server, began, &body) {
+            log::debug!("server {}: an answer without a length may have been cut", start.server);
+            return Status::Error.into();
+        }
         let declined = head.header(&bytes, "srv-declined") == Some(b"1");
         let status = match head.status {
             200 => Status::Ok,
--- a/limeway/src/connection.rs
+++ b/limeway/src/connection.rs
@@ -62,13 +62,37 @@
     pub body: Vec<u8>,
     /// The connection may be used again.
     pub keep: bool,
+    /// The answer told no length: its body is what came before the orderly end of the connection.
+    pub ended_by_close: bool,
+}
+
+/// What the system itself shows of a connection on which nothing is awaited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Neither bytes nor an end have come.
+    Quiet,
+    /// Bytes have come.
+    Readable,
+    /// The other side has ended its sending.
+    Ended,
+    /// The connection was reset or broke in another way.
+    Broken,
+}
+
+/// The state of a connection on which nothing is awaited, by the system itself.
+pub fn idle_state(stream: &TcpStream) -> IdleState {
+    let mut byte = [MaybeUninit::uninit(); 1];
+    match socket2::SockRef::from(stream).peek(&mut byte) {
+        Ok(0) => IdleState::Ended,
+        Ok(_) => IdleState::Readable,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
+        Err(_) => IdleState::Broken,
+    }
 }
 
 /// Whether neither bytes nor the end have come on a connection, by the system itself.
 pub fn quiet(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit(); 1];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    idle_state(stream) == IdleState::Quiet
 }
 
 /// A kept connection of ours.
@@ -109,6 +133,11 @@
         self.buffer.is_empty() && quiet(&self.stream)
     }
 
+    /// What the system shows of it while nothing is awaited.
+    pub fn idle_state(&self) -> IdleState {
+        idle_state(&self.stream)
+    }
+
     /// How long it has stood idle.
     pub fn idle(&self) -> Duration {
         self.since.elapsed()
@@ -167,16 +196,39 @@
         if (100..200).contains(&head.status) && head.status != 101 {
             return Ok(None);
         }
-        // A body that goes on to the end of its connection may be cut short unseen.
-        let open_end = head.framing == http::Framing::UntilClose;
-        if open_end && head.status == 200 {
-            return Err(Broken::Spoilt("no length"));
-        }
-        let mut body = Body::new(head.framing, self.most);
-        while !open_end && !body.take(&mut self.buffer)? {
+        let ended_by_close = head.framing == http::Framing::UntilClose;
+        let body = match (ended_by_close, head.status) {
+            (true, 200) => self.read_to_close().await?,
+            // Nobody reads the body of any other answer.
+            (true, _) => Vec::new(),
+            (false, _) => self.read_framed(head.framing).await?,
+        };
+        let keep = head.keep_alive && !ended_by_close && head.status >= 200 && self.buffer.is_empty();
+        Ok(Some(Reply { head, bytes, body, keep, ended_by_close }))
+    }
+
+    /// Reads a body that tells its own end.
+    async fn read_framed(&mut self, framing: http::Framing) -> Result<Vec<u8>, Broken> {
+        let mut body = Body::new(framing, self.most);
+        while !body.take(&mut self.buffer)? {
             self.more_soon().await?;
         }
-        let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Reply { head, bytes, body: body.bytes, keep }))
+        Ok(body.bytes)
+    }
+
+    /// Reads a body that goes on to the orderly end of its connection; one that breaks has no end.
+    async fn read_to_close(&mut self) -> Result<Vec<u8>, Broken> {
+        loop {
+            if self.buffer.len() > self.most {
+                return Err(http::HttpError::BodyTooLong.into());
+            }
+            match self.more_soon().await {
+                Ok(()) => {}
+                Err(Broken::Ended(e)) if e.kind() == io::ErrorKind::UnexpectedEof => {
+                    return Ok(std::mem::take(&mut self.buffer).to_vec());
+                }
+                Err(e) => return Err(e),
+            }
+        }
     }
 }
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -122,6 +122,8 @@
             return (Status::ConnectFailed, 0.0);
         }
         let Reply { head, body, keep, .. } = match call.conn.read().await {
+            // Nobody could tell whether all digits of such a total have come.
+            Ok(reply) if reply.ended_by_close => return (Status::Error, 0.0),
             Ok(reply) => reply,
             Err(Broken::Ended(_)) => return (Status::Reset, 0.0),
             // Added, but the total cannot be read.
--- a/limeway/src/http.rs
+++ b/limeway/src/http.rs
@@ -246,7 +246,7 @@
                 from.advance(part);
                 Ok(self.bytes.len() == length)
             }
-            // Never gathered: nobody could tell whether it is whole.
+            // Its end shows on the connection only.
             Framing::UntilClose => Err(HttpError::Malformed),
             Framing::Chunked => self.take_chunks(from),
         }
@@ -302,6 +302,15 @@
     }
 }
 
+/// Whether bytes hold what reads as the first line of an answer.
+pub fn holds_status_line(bytes: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    const DIGITS: Range<usize> = 9..12;
+    bytes.windows(DIGITS.end).any(|line| {
+        line.starts_with(VERSION) && line[8] == b' ' && line[DIGITS].iter().all(u8::is_ascii_digit)
+    })
+}
+
 /// Writes a head and a body as one message.
 pub fn write_answer(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body: &[u8]) {
     let reason = match status {
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -1,7 +1,7 @@
 //! Servers as discovery lists them, and pools of connections to them.
 
 use crate::catalog::{Health, List};
-use crate::connection::Conn;
+use crate::connection::{Conn, IdleState};
 use crate::descriptors::{Descriptors, Held, Owner};
 use crate::zones::Zones;
 use pondgw::{Entry, Lifecycle, ListKind, ServerId, Setup};
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Part of the time after which a server closes an idle connection that it is kept here: a request written
 /// as the server closes would end as a reset that may have run.
@@ -29,6 +29,8 @@
     born_ms: u64,
     /// In service: idle connections are kept.
     ready: bool,
+    /// When an attempt there last ended as a reset.
+    reset_at: Option<Instant>,
     idle: Vec<Conn>,
 }
 
@@ -91,6 +93,7 @@
                     address: None,
                     born_ms: row.born_ms,
                     ready: false,
+                    reset_at: None,
                     idle: Vec::new(),
                 };
                 match free.pop() {
@@ -188,14 +191,27 @@
         }
     }
 
-    /// Lets go of all idle connections to a server. Guards against one that vanished or restarted unseen: its
-    /// other connections look sound but end as resets too, where a new one would fail as 'never ran'.
-    pub fn forget(&self, server: ServerId) {
+    /// Takes note of a reset, and lets go of all idle connections to its server. Guards against one that vanished or
+    /// restarted unseen: its other connections look sound but end as resets too, where a new one would fail as
+    /// 'never ran'.
+    pub fn note_reset(&self, server: ServerId) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(server) {
+            host.reset_at = Some(Instant::now());
             host.idle.clear();
         }
     }
 
+    /// Whether nothing speaks against a server's process having lived on since a time: it is listed, none of its
+    /// connections was reset, and of those that stand idle one at least is open.
+    pub fn is_alive(&self, server: ServerId, since: Instant) -> bool {
+        let hosts = self.hosts.borrow();
+        let Some(host) = hosts.get(server).filter(|host| !host.gone) else { return false };
+        let states: Vec<IdleState> = host.idle.iter().map(Conn::idle_state).collect();
+        let reset = host.reset_at.is_some_and(|at| at >= since) || states.contains(&IdleState::Broken);
+        let all_ended = !states.is_empty() && states.iter().all(|state| *state == IdleState::Ended);
+        !reset && !all_ended
+    }
+
     /// Lets go of connections that have stood idle too long or were closed from the other side.
     pub fn prune(&self) {
         for host in self.hosts.borrow_mut().iter_mut() {
--- a/limeway/tests/closing.rs
+++ b/limeway/tests/closing.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -84,8 +86,7 @@
         let counter = counter();
         let cut = |_: usize, _: &Message, s: &mut TcpStream| {
             let _ = s.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf of it");
-            let _ = socket2::SockRef::from(&*s).set_linger(Some(Duration::ZERO));
-            hang_up(s);
+            reset(s);
         };
         let (one, two) = (server(cut), server(cut));
         let limiter = Setup::new(&[&one, &two], &counter).start();
@@ -130,3 +131,43 @@
         assert_eq!(one.requests.try_iter().count(), 10, "{class}: one attempt each");
     }
 }
+
+/// Guards against a cut answer that is served: a body that is empty, one that holds a second answer, and one whose
+/// server went down as it came, so that all its connections ended with it.
+#[test]
+fn an_answer_without_a_length_is_not_served_where_it_may_have_been_cut() {
+    let second = "served\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved";
+    for (body, goes_down) in [("", false), (second, false), ("half of it", true)] {
+        let counter = counter();
+        let (go, held) = channel::<()>();
+        let (connections, held) = (Mutex::new(Vec::<TcpStream>::new()), Mutex::new(held));
+        let one = server(move |_, message, stream| {
+            if message.header("req-id") != Some("last") {
+                connections.lock().expect("no panic").push(stream.try_clone().expect("a second handle"));
+                // Two are open at once, so that one of them is idle later.
+                let _ = held.lock().expect("no panic").recv_timeout(LONG);
+                return reply(stream, "200 OK", "served");
+            }
+            let open = connections.lock().expect("no panic");
+            for connection in open.iter().filter(|_| goes_down) {
+                if connection.peer_addr().ok() != stream.peer_addr().ok() {
+                    let _ = connection.shutdown(Shutdown::Write);
+                }
+            }
+            answer_without_length(stream, &[body]);
+        });
+        let limiter = Setup::new(&[&one], &counter).start();
+        let mut clients: Vec<Client> = (0..2).map(|_| limiter.client()).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write(&request("once", &n.to_string(), "team", 9000));
+            one.requests.recv_timeout(LONG).expect("it is sent on");
+        }
+        for client in &mut clients {
+            go.send(()).expect("it is awaited");
+            assert_eq!(client.read().map(|answer| answer.status()), Some(200));
+        }
+        let answer = clients[0].ask(&request("once", "last", "team", 9000));
+        assert_eq!(answer.status(), 502, "{body:?}, goes down: {goes_down}");
+        assert_eq!(one.requests.try_iter().count(), 1, "what may have run is not sent again");
+    }
+}
--- a/limeway/tests/common/discovery.rs
+++ b/limeway/tests/common/discovery.rs
@@ -88,10 +88,7 @@
             match mood {
                 Mood::Silent => thread::park(),
                 Mood::Refuses => return reply(stream, "503 Busy", ""),
-                Mood::Resets => {
-                    let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-                    return hang_up(stream);
-                }
+                Mood::Resets => return reset(stream),
                 Mood::Rubbish => return reply(stream, "200 OK", r#"{"seq":"#),
                 Mood::Rows => {
                     return reply(stream, "200 OK", r#"{"seq":1,"whole":true,"hosts":[{"host":3}]}"#)
--- a/limeway/tests/common/stand_ins.rs
+++ b/limeway/tests/common/stand_ins.rs
@@ -61,6 +61,13 @@
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
+/// Resets a connection once the stand-in is done with it: its end of reading lets go of all handles to it, and with
+/// nothing lingering the last close is a reset. An end of sending would be seen first, as an orderly end.
+pub fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Read);
+}
+
 /// A counter that adds up each name.
 pub fn counter() -> Server {
     let totals = Mutex::new(std::collections::HashMap::<String, f64>::new());
