--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -6,12 +6,13 @@
 use crate::core::{Answer, Core};
 use crate::http::{self, Body, Head};
 use crate::request::{self, ClientMessage, Reject};
+use crate::stream_io::{read_some, uninterrupted, write_whole};
 use bytes::BytesMut;
 use pondgw::{Demand, Micros};
 use std::io::{self, ErrorKind, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -181,7 +182,7 @@
             let closing = table.closing() >= go;
             tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.buffer) => return self.note_first(core, read),
+                read = read_some(&mut self.stream, &mut self.buffer) => return self.note_first(core, read),
                 () = table.close.notified(), if !closing => continue,
                 () = place.evicted() => {}
                 () = &mut idle => {}
@@ -192,7 +193,7 @@
                 self.evicted = place.is_evicted().then_some(place);
                 return false;
             }
-            let read = self.stream.read_buf(&mut self.buffer).await;
+            let read = read_some(&mut self.stream, &mut self.buffer).await;
             return self.note_first(core, read);
         }
     }
@@ -251,7 +252,7 @@
         if self.cut > 0 {
             return false;
         }
-        let read = self.stream.read_buf(&mut self.buffer).await;
+        let read = read_some(&mut self.stream, &mut self.buffer).await;
         self.note_read(core, read)
     }
 
@@ -278,17 +279,12 @@
     /// Reads a part of what is there, by the system itself.
     fn read_ready(&mut self, waited: Duration) -> io::Result<usize> {
         let mut part = [0; BUFFER_KEPT];
-        loop {
-            match (&*socket2::SockRef::from(&self.stream)).read(&mut part) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Ok(n @ 1..) => {
-                    (self.read_at, self.waited) = (Instant::now(), waited);
-                    self.buffer.extend_from_slice(&part[..n]);
-                    return Ok(n);
-                }
-                end => return end,
-            }
+        let read = uninterrupted(|| (&*socket2::SockRef::from(&self.stream)).read(&mut part))?;
+        if read > 0 {
+            (self.read_at, self.waited) = (Instant::now(), waited);
+            self.buffer.extend_from_slice(&part[..read]);
         }
+        Ok(read)
     }
 
     /// Keeps what one request can take of what a client sends ahead, and counts the rest. False where that is too
@@ -330,7 +326,7 @@
                 answer = &mut answer => break answer.unwrap_or(Answer::Failed),
                 // The client's next request may come early; the end of its sending means that it has left. What
                 // is behind a full buffer is read all the same, or its leaving would stay unseen.
-                more = self.stream.read_buf(&mut self.buffer) => {
+                more = read_some(&mut self.stream, &mut self.buffer) => {
                     let left = !self.note_read(core, more);
                     if left || !self.cut_ahead() {
                         core.gone(id);
@@ -352,7 +348,7 @@
     async fn answer(&mut self, status: u16, headers: &[u8], close: bool, body: &[u8]) -> bool {
         self.out.clear();
         http::write_answer(&mut self.out, status, headers, close, body);
-        let written = timeout(ANSWER_MOST, self.stream.write_all(&self.out)).await;
+        let written = timeout(ANSWER_MOST, write_whole(&mut self.stream, &self.out)).await;
         matches!(written, Ok(Ok(()))) && !close
     }
 
@@ -368,7 +364,7 @@
             let mut read = 0;
             while read < 4 * http::BODY_MOST {
                 self.buffer.clear();
-                match self.stream.read_buf(&mut self.buffer).await {
+                match read_some(&mut self.stream, &mut self.buffer).await {
                     Ok(n @ 1..) => read += n,
                     _ => return,
                 }
--- a/limeway/src/connection.rs
+++ b/limeway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::descriptors::Held;
 use crate::http::{self, Body};
+use crate::stream_io::{read_some, uninterrupted, write_whole};
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::fmt;
@@ -9,7 +10,6 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -82,7 +82,7 @@
 /// The state of a connection on which nothing is awaited, by the system itself.
 pub fn idle_state(stream: &TcpStream) -> IdleState {
     let mut byte = [MaybeUninit::uninit(); 1];
-    match socket2::SockRef::from(stream).peek(&mut byte) {
+    match uninterrupted(|| socket2::SockRef::from(stream).peek(&mut byte)) {
         Ok(0) => IdleState::Ended,
         Ok(_) => IdleState::Readable,
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => IdleState::Quiet,
@@ -153,7 +153,7 @@
 
     /// Writes a message; sets `written` once its last byte has been handed over.
     pub async fn write(&mut self, message: &[u8], written: &Cell<bool>) -> io::Result<()> {
-        self.stream.write_all(message).await?;
+        write_whole(&mut self.stream, message).await?;
         written.set(true);
         Ok(())
     }
@@ -172,7 +172,7 @@
     }
 
     async fn more(&mut self) -> Result<(), Broken> {
-        match self.stream.read_buf(&mut self.buffer).await? {
+        match read_some(&mut self.stream, &mut self.buffer).await? {
             0 => Err(Broken::Ended(io::ErrorKind::UnexpectedEof.into())),
             _ => Ok(()),
         }
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -21,6 +21,7 @@
 mod request;
 mod servers;
 mod start_error;
+mod stream_io;
 mod zones;
 
 use crate::core::Core;
--- /dev/null
+++ b/limeway/src/stream_io.rs
@@ -0,0 +1,25 @@
+//! Reads and writes on connections: the one place for each, for clients, servers, the counter and discovery.
+
+use bytes::BytesMut;
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Reads what has come, and adds it to `to`; 0 bytes at the end of the connection. Nothing is lost where the future is
+/// dropped.
+pub async fn read_some<R: AsyncRead + Unpin>(from: &mut R, to: &mut BytesMut) -> io::Result<usize> {
+    from.read_buf(to).await
+}
+
+/// Writes all bytes, in as many pieces as the system takes them.
+pub async fn write_whole<W: AsyncWrite + Unpin>(to: &mut W, bytes: &[u8]) -> io::Result<()> {
+    to.write_all(bytes).await
+}
+
+/// Makes a system call.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    call()
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/stream_io.rs"]
+mod tests;
