--- a/limeway/src/connection.rs
+++ b/limeway/src/connection.rs
@@ -95,6 +95,16 @@
     idle_state(stream) == IdleState::Quiet
 }
 
+/// Connects; an attempt that is interrupted by a signal is made again.
+async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    loop {
+        match TcpStream::connect(to).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            end => return end,
+        }
+    }
+}
+
 /// A kept connection of ours.
 pub struct Conn {
     stream: TcpStream,
@@ -115,7 +125,7 @@
 
     /// The same, for answers with bodies of so many bytes.
     pub async fn open_for(to: SocketAddr, held: Held, most: usize) -> io::Result<Self> {
-        let stream = TcpStream::connect(to).await?;
+        let stream = connect(to).await?;
         stream.set_nodelay(true)?;
         Ok(Conn {
             stream,
