--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::client_table::ClientTable;
 use crate::core::Core;
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,7 +18,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// Listens at an address.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
@@ -60,12 +61,24 @@
                 });
             }
             Err(e) => {
-                // Out of descriptors: idle ones go, and trying again at once would only spin.
-                held_up.get_or_insert_with(Instant::now);
                 core.log_limiter.warn(format_args!("accepting: {e}"));
+                if concerns_one_connection(&e) {
+                    continue;
+                }
+                // Out of descriptors or memory: idle ones go, and trying again at once would only spin.
+                held_up.get_or_insert_with(Instant::now);
                 core.pools.prune();
                 sleep(ACCEPT_WAIT).await;
             }
         }
     }
 }
+
+/// Whether an error of accepting is that of one connection, so that the next in the queue can be accepted at once.
+fn concerns_one_connection(_error: &io::Error) -> bool {
+    false
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/clients.rs"]
+mod tests;
