Go on to the next connection at once after an accept error of one connection

Cause: clients::run slept 20 ms after each failed accept, whatever the error, in front of the queue of all others.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -74,9 +74,26 @@
     }
 }
 
+/// Errors of accepting that are those of the connection that was to be accepted, by accept(2): it was aborted, a rule of
+/// the firewall forbids it, a signal came, or its network has an error pending.
+const CONNECTION_ERRORS: [i32; 12] = [
+    libc::ECONNABORTED,
+    libc::EPROTO,
+    libc::EPERM,
+    libc::EINTR,
+    libc::ETIMEDOUT,
+    libc::ENETDOWN,
+    libc::ENOPROTOOPT,
+    libc::EHOSTDOWN,
+    libc::ENONET,
+    libc::EHOSTUNREACH,
+    libc::EOPNOTSUPP,
+    libc::ENETUNREACH,
+];
+
 /// Whether an error of accepting is that of one connection, so that the next in the queue can be accepted at once.
-fn concerns_one_connection(_error: &io::Error) -> bool {
-    false
+fn concerns_one_connection(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| CONNECTION_ERRORS.contains(&code))
 }
 
 #[cfg(test)]
