Allow for a process that is held up in the window of keyed repeats

Cause: retry() asked for now + round + connect to lie within the window of the key; a process may be held up for 0.15 s between that decision and the write.

--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -4,6 +4,9 @@
 
 /// Further attempts for each first attempt, and the most saved up.
 pub(super) const RETRIES: (f64, f64) = (0.1, 10.0);
+/// Time for which the process may be held up between a decision and the write that follows, in microseconds
+/// (fleet page).
+const HELD_UP: Micros = 150_000;
 
 impl Gateway {
     /// An attempt has ended: its server is judged, and its request goes on or ends.
@@ -61,7 +64,9 @@
         let effect = match (class.effect, request.attempts.iter().find(|a| a.fate != Fate::NeverRan)) {
             (_, None) | (Effect::Safe, _) => true,
             // It may go out as late as its connection comes up, and must do so while the key is known.
-            (Effect::Keyed, Some(a)) => self.now + self.set.round + allow.connect < a.sent + class.window,
+            (Effect::Keyed, Some(a)) => {
+                self.now + self.set.round + allow.connect + HELD_UP < a.sent + class.window
+            }
             (Effect::Unsafe, Some(_)) => false,
         };
         let allowed = effect
