Show three faults by tests: own limits on connect, half-closed clients, requests in part at the end

ENOBUFS, ENOMEM and EAGAIN on connect count against the server; a client that ends its sending and still reads is closed with no answer wherever its request waits; a request that has come in part is cut off without an answer when the process ends.

--- a/limeway/src/attempts.rs
+++ b/limeway/src/attempts.rs
@@ -8,6 +8,7 @@
 use crate::servers::{Pools, Taken};
 use pondgw::{Load, Micros, RequestId, ServerId, Status};
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::oneshot;
@@ -85,7 +86,7 @@
             Some(Taken::ToOpen(address, held)) => {
                 match timeout(pools.dial_timeout, Conn::open(address, held)).await {
                     Ok(Ok(conn)) => conn,
-                    Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
+                    Ok(Err(e)) if is_own_limit(&e) => {
                         self.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
                         return Status::Moot.into();
                     }
@@ -178,8 +179,13 @@
     "vary",
 ];
 
-/// System errors that speak of this process's own limits, not of the server: EMFILE, ENFILE, EADDRNOTAVAIL.
-const OWN_LIMITS: [i32; 3] = [24, 23, 99];
+/// System errors that speak of what this process or machine has run out of, not of the server.
+const OWN_LIMITS: [i32; 3] = [libc::EMFILE, libc::ENFILE, libc::EADDRNOTAVAIL];
+
+/// Whether a connection failed for want of something on this machine.
+fn is_own_limit(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code))
+}
 
 /// The bytes of an attempt: the client's request, with the time that is left.
 fn message(forward: &Forward, left: Micros) -> Vec<u8> {
--- a/limeway/tests/closing.rs
+++ b/limeway/tests/closing.rs
@@ -171,3 +171,26 @@
         assert_eq!(one.requests.try_iter().count(), 1, "what may have run is not sent again");
     }
 }
+
+/// Guards against the end of the process in the middle of a request, whose last byte may just be on its way.
+#[test]
+fn a_request_that_has_come_in_part_when_it_ends_gets_an_answer() {
+    let (one, counter) = (server(ok), counter());
+    let mut limiter = Setup::new(&[&one], &counter).start();
+    let text = request("book", "in-part", "team", 9000);
+    let mut clients: Vec<Client> = [1, text.len() / 2, text.len() - 1]
+        .map(|written| {
+            let mut client = limiter.client();
+            client.write(&text[..written]);
+            client
+        })
+        .into();
+    turns(&limiter);
+    limiter.terminate();
+    for client in &mut clients {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    }
+    assert!(limiter.wait().success());
+    assert!(one.requests.try_recv().is_err(), "nothing is sent on");
+}
--- a/limeway/tests/departures.rs
+++ b/limeway/tests/departures.rs
@@ -83,3 +83,30 @@
         }
     }
 }
+
+/// Guards against a request that was read and whose connection is closed with no answer: the end of a client's sending
+/// looks the same whether it has gone or still reads.
+#[test]
+fn a_client_that_only_ends_its_sending_gets_a_final_answer() {
+    let silent = || server(|_, _, _| std::thread::park());
+    for (waits_for, status) in [("counter", 429), ("server", 502), ("limiter", 503)] {
+        let (one, _go) = holding();
+        let counter = if waits_for == "counter" { silent() } else { counter() };
+        let limiter = Setup::new(&[&one], &counter).start();
+        if waits_for == "limiter" {
+            limiter.pause();
+        }
+        let mut client = limiter.client();
+        client.write(&request("look", "half", "team", 20_000));
+        match waits_for {
+            "counter" => drop(counter.requests.recv_timeout(LONG).expect("a call")),
+            "server" => drop(one.requests.recv_timeout(LONG).expect("an attempt")),
+            _ => {}
+        }
+        leave(&client, Leaving::HalfCloses);
+        limiter.resume();
+        assert_eq!(client.read().map(|answer| answer.status()), Some(status), "it waits for the {waits_for}");
+        assert!(client.read().is_none(), "the connection ends");
+        assert!(one.requests.try_recv().is_err(), "nothing further is sent on");
+    }
+}
--- a/limeway/tests/unit/attempts.rs
+++ b/limeway/tests/unit/attempts.rs
@@ -13,3 +13,18 @@
     }
     assert_eq!(load(b"x,busy_reqs=3").inflight, Some(3.0));
 }
+
+/// Guards against servers that are taken for faulty where this process or machine has run out of something: ENFILE,
+/// EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN. The others tell of the way to the server.
+#[test]
+fn only_errors_of_this_machine_are_its_own() {
+    for code in [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM, libc::EADDRNOTAVAIL, libc::EAGAIN] {
+        let error = std::io::Error::from_raw_os_error(code);
+        assert!(is_own_limit(&error), "{error}");
+    }
+    for code in [libc::ECONNREFUSED, libc::ENETUNREACH, libc::EHOSTUNREACH, libc::ETIMEDOUT, libc::ECONNRESET]
+    {
+        let error = std::io::Error::from_raw_os_error(code);
+        assert!(!is_own_limit(&error), "{error}");
+    }
+}
