Count ENOBUFS, ENOMEM and EAGAIN on connect among this machine's own limits

Cause: OWN_LIMITS knew EMFILE, ENFILE and EADDRNOTAVAIL only, so that three moments without buffers ejected a sound server and had it start cold again. The attempt never ran in either case and moves on, whatever its class.

--- a/limeway/src/attempts.rs
+++ b/limeway/src/attempts.rs
@@ -180,7 +180,8 @@
 ];
 
 /// System errors that speak of what this process or machine has run out of, not of the server.
-const OWN_LIMITS: [i32; 3] = [libc::EMFILE, libc::ENFILE, libc::EADDRNOTAVAIL];
+const OWN_LIMITS: [i32; 6] =
+    [libc::EMFILE, libc::ENFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS, libc::ENOMEM, libc::EAGAIN];
 
 /// Whether a connection failed for want of something on this machine.
 fn is_own_limit(error: &io::Error) -> bool {
