Answer a request whose client has ended its sending, instead of only closing

Cause: Connection::request returned without an answer once the client's sending had ended, before or after the module took the request on. A client that only half-closes still reads, and its request was read and closed with no answer.

Change: it is answered at once, before the close: 503 if the module has not heard of it, 429 if no attempt was made, 502 if one was. Nothing is sent on for it, as before: a half-close cannot be told from a close.

--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -308,7 +308,7 @@
         let waited = (self.read_at.elapsed() + self.waited).as_micros() as Micros;
         // One that waited to be accepted, or behind others on its connection, may have lost its client meanwhile.
         if !self.take_in(core.lag.bound()) {
-            return false;
+            return self.reject(core, &Reject::CLIENT_LEFT, true).await;
         }
         demand.left = demand.left.saturating_sub(waited);
         if demand.left == 0 {
@@ -329,13 +329,17 @@
                 more = read_some(&mut self.stream, &mut self.buffer) => {
                     let left = !self.note_read(core, more);
                     if left || !self.cut_ahead() {
-                        core.gone(id);
-                        return false;
+                        let answer = core.gone(id);
+                        return self.final_answer(core, answer, true).await;
                     }
                 },
             }
         };
         let close = self.ends(core, table, last);
+        self.final_answer(core, answer, close).await
+    }
+
+    async fn final_answer(&mut self, core: &Core, answer: Answer, close: bool) -> bool {
         match answer {
             Answer::Served(served) => self.answer(200, &served.headers, close, &served.body).await,
             Answer::Refused(wait) => self.answer(429, &retry_after(core, wait), close, b"").await,
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -369,15 +369,21 @@
         Some((id, answer))
     }
 
-    /// The client has left; nothing more is owed.
-    pub fn gone(self: &Rc<Self>, id: RequestId) {
+    /// The client has ended its sending: nothing more is done for its request. Gives the final answer for a client that
+    /// still reads, which cannot be told from one that has gone.
+    pub fn gone(self: &Rc<Self>, id: RequestId) -> Answer {
         let mut state = self.state.borrow_mut();
-        if state.take_reply(id).is_none() {
-            return;
+        let never_sent = state.open.get(&id).is_some_and(|open| open.attempts.is_empty());
+        if state.take_reply(id).is_some() {
+            state.reap(id);
+            state.events.push_back(Event::Gone { id });
+            self.run(&mut state);
+        }
+        if never_sent {
+            Answer::Refused(0)
+        } else {
+            Answer::Failed
         }
-        state.reap(id);
-        state.events.push_back(Event::Gone { id });
-        self.run(&mut state);
     }
 
     /// An attempt has ended; its connection is closed or back in its pool.
