Answer requests that have come in part when the process ends

Cause: the loop that ends the process waited for requests that were open, not for those of which a part had come, and ended 1 s after the last answer: a slow client's last byte could cross that end.

Change: once no new connection is accepted, connections with a part of a request get 503 and their end; what begins later has 0.3 s to come whole, and the process waits for it.

--- a/limeway/src/client_connection.rs
+++ b/limeway/src/client_connection.rs
@@ -21,6 +21,8 @@
 /// Time from the start of a connection for its first request to come whole, and from its first byte on for each
 /// later one: who says nothing, or never comes to an end, is told so or closed within 3 s.
 const MESSAGE_MOST: Duration = Duration::from_millis(2_200);
+/// The same once no new connection is accepted, as the process is about to end.
+const MESSAGE_MOST_AT_END: Duration = Duration::from_millis(300);
 /// Time for an answer to be taken.
 const ANSWER_MOST: Duration = Duration::from_secs(10);
 /// Time for which what is still on its way is read after the last answer, lest that be lost to a reset.
@@ -152,12 +154,15 @@
         if self.buffer.is_empty() && (self.cut > 0 || !self.first_bytes(core, table).await) {
             return Ok(None);
         }
-        let left = if self.fresh { MESSAGE_MOST.saturating_sub(self.since.elapsed()) } else { MESSAGE_MOST };
+        let most = if table.closing() == Closing::All { MESSAGE_MOST_AT_END } else { MESSAGE_MOST };
+        let left = if self.fresh { most.saturating_sub(self.since.elapsed()) } else { most };
         let place = Place::take(table, Phase::Partial);
         let received = tokio::select! {
             biased;
             received = timeout(left, self.read_message(core)) => received,
-            () = place.evicted() => Ok(Err(Reject::TOO_MANY)),
+            () = place.evicted() => {
+                Ok(Err(if core.draining.get() { Reject::ENDING } else { Reject::TOO_MANY }))
+            }
         };
         if place.is_evicted() && !matches!(received, Ok(Ok(Some(_)))) {
             self.evicted = Some(place);
--- a/limeway/src/client_table.rs
+++ b/limeway/src/client_table.rs
@@ -180,6 +180,16 @@
         self.close.notify_waiters();
     }
 
+    /// Tells all connections to go on which a part of a request has come: they get an answer that says so.
+    pub fn turn_away_partial(&self) {
+        while self.evict_oldest(&[(Phase::Partial, Duration::ZERO)]) {}
+    }
+
+    /// Whether a part of a request has come on any connection.
+    pub fn is_receiving(&self) -> bool {
+        !self.waiting[Phase::Partial as usize].borrow().is_empty()
+    }
+
     /// Tells connections to go, as far as there are too many.
     pub fn make_room(&self) {
         let marks = self.marks();
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -136,10 +136,11 @@
     stop_listening.notify_one();
     let _ = timeout(LISTEN_ON.0, accepting).await;
     table.close_idle(Closing::All);
+    table.turn_away_partial();
     // Whatever has been taken is answered by its own deadline; ending before that would lose it.
     let mut answered = Instant::now();
     while table.open() > 0 && answered.elapsed() < LAST_MOST {
-        if core.unanswered() > 0 {
+        if core.unanswered() > 0 || table.is_receiving() {
             answered = Instant::now();
         }
         sleep(Duration::from_millis(5)).await;
--- a/limeway/src/request.rs
+++ b/limeway/src/request.rs
@@ -42,6 +42,8 @@
     /// The client's time was over before the request was read.
     pub const TOO_LATE: Reject =
         Reject { status: 503, reason: "the request's time was over when it was read\n" };
+    /// The process ends before the request has come whole.
+    pub const ENDING: Reject = Reject { status: 503, reason: "this limiter is ending\n" };
     /// The client has ended its sending before the request was taken on.
     pub const CLIENT_LEFT: Reject = Reject { status: 503, reason: "the client has ended its sending\n" };
     /// Nobody could tell the answers of two requests with one id apart.
