Add a soak of limiters that end between servers and clients that misbehave

Each request is followed; a line for each seed says what was asked, answered, lost, repeated, misrouted, told too much and sent to draining servers.

The start of a limiter and the reading of answers move out of `real` for it.

--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -6,6 +6,7 @@
 use scale::real::{self, Plan};
 use scale::report::{commit, Format, Report, Run};
 use scale::settings::Deployment;
+use scale::soak;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -27,6 +28,27 @@
 
 #[derive(Subcommand)]
 enum What {
+    /// Real limiters that end and are killed between servers and clients that misbehave; a line for each seed.
+    Soak(Soak),
+    #[command(flatten)]
+    Measure(Measure),
+}
+
+#[derive(Args)]
+struct Soak {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// Number of seeds, of which each takes some ten seconds.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    seeds: u64,
+    /// The limiter's program; else the one beside this program.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Measure {
     /// A small form of all, in under a minute.
     Small(Output),
     /// All axes and faults.
@@ -108,7 +130,11 @@
             return ExitCode::SUCCESS;
         }
     };
-    match run(cli.what) {
+    let ended = match cli.what {
+        What::Soak(soak) => run_soak(soak),
+        What::Measure(measure) => run(measure),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(&e.to_string()),
     }
@@ -120,16 +146,16 @@
     ExitCode::FAILURE
 }
 
-fn run(what: What) -> Result<(), Box<dyn std::error::Error>> {
+fn run(what: Measure) -> Result<(), Box<dyn std::error::Error>> {
     let output = match &what {
-        What::Small(output) | What::All(output) => output.clone(),
-        What::Real { output, .. } | What::Hollow { output, .. } => output.clone(),
+        Measure::Small(output) | Measure::All(output) => output.clone(),
+        Measure::Real { output, .. } | Measure::Hollow { output, .. } => output.clone(),
     };
     let mut report = Report { seed: output.seed, commit: commit(), runs: Vec::new() };
     match what {
-        What::Small(_) => small(&mut report)?,
-        What::All(_) => all(&mut report)?,
-        What::Real { servers, tenants, limiters, requests, program, .. } => {
+        Measure::Small(_) => small(&mut report)?,
+        Measure::All(_) => all(&mut report)?,
+        Measure::Real { servers, tenants, limiters, requests, program, .. } => {
             let program = program.map_or_else(real::program, Ok)?;
             // What has several values is varied.
             let axis = match (limiters.len(), tenants.len()) {
@@ -151,7 +177,9 @@
                 }
             }
         }
-        What::Hollow { limiters, servers, tenants, rate, changes, seconds, fault, ask, regions, .. } => {
+        Measure::Hollow {
+            limiters, servers, tenants, rate, changes, seconds, fault, ask, regions, ..
+        } => {
             if !(rate.is_finite() && rate > 0.0 && changes.is_finite() && changes >= 0.0) {
                 return Err("--rate must be above nought and --changes not below it".into());
             }
@@ -188,6 +216,24 @@
     Ok(())
 }
 
+/// Plays so many seeds; fails where one breaks a rule.
+fn run_soak(Soak { first, seeds, program }: Soak) -> Result<(), Box<dyn std::error::Error>> {
+    let program = program.map_or_else(real::program, Ok)?;
+    let mut broken = Vec::new();
+    for seed in first..first.saturating_add(seeds) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let verdict = LocalSet::new().block_on(&runtime, soak::play(&program, seed))?;
+        println!("seed {seed}: {verdict}");
+        if verdict.is_broken() {
+            broken.push(seed.to_string());
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(format!("rules were broken with seed {}", broken.join(", ")).into())
+}
+
 fn plan(program: &std::path::Path, sizes: (u32, u32, u32), requests: u64, seed: u64) -> Plan {
     let (limiters, servers, tenants) = (sizes.0, sizes.1 as usize, u64::from(sizes.2));
     Plan {
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -1,28 +1,28 @@
 //! Real limiters, as processes on loopback: what they cost by the number of servers, of tenants and of limiters.
 
+use crate::limiter::{exchange, Limiter, Limits, Places};
 use crate::process;
 use crate::report::Run;
 use crate::settings::{Deployment, DEADLINE_MS, SPREAD};
-use crate::standins::{self, read_head, Discovery, Seen};
+use crate::standins::{self, Discovery, Seen};
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::fmt;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Time for a limiter to be ready before it counts as one that never is: three times what the trial allows.
 const READY_MOST: Duration = Duration::from_secs(30);
 /// Time for a change to be in force before it counts as lost.
 const CHANGE_MOST: Duration = Duration::from_secs(12);
+/// Descriptors that each limiter may hold.
+const SOCKETS: u32 = 1_024;
 /// Requests in flight at once from the load generator of one limiter.
 const CLIENTS: usize = 8;
 
@@ -76,30 +76,6 @@
     pub seed: u64,
 }
 
-/// A limiter that runs; it ends with this value.
-struct Limiter {
-    child: Child,
-    address: SocketAddr,
-    config: PathBuf,
-}
-
-impl Drop for Limiter {
-    fn drop(&mut self) {
-        let _ = self.child.start_kill();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
-impl Limiter {
-    fn pid(&self) -> u32 {
-        self.child.id().unwrap_or(0)
-    }
-
-    fn cpu(&self) -> Duration {
-        process::cpu(self.pid()).unwrap_or_default()
-    }
-}
-
 /// The stand-ins of one measurement.
 struct World {
     discovery: Rc<Discovery>,
@@ -121,29 +97,10 @@
 
     /// Starts one limiter, which knows nothing.
     fn limiter(&self, plan: &Plan, me: u32) -> io::Result<Limiter> {
-        // Nobody listens there until the limiter does.
-        let listener = std::net::TcpListener::bind((IpAddr::from([127, 0, 0, 1]), 0))?;
-        let address = listener.local_addr()?;
-        drop(listener);
-        let json = serde_json::json!({
-            "name": format!("n{me}"), "listen": address.to_string(), "seed": format!("{:x}", plan.seed + u64::from(me)),
-            "discovery": self.discovery.address.to_string(), "counter": self.counter.0.to_string(),
-            "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": 1_024},
-            "settings": self.deployment.settings(me),
-        });
-        let name = format!("saltlink-scale-{}-{}.json", std::process::id(), address.port());
-        let config = std::env::temp_dir().join(name);
-        std::fs::write(&config, json.to_string())?;
-        let mut command = Command::new(&plan.program);
-        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
-            command.env_remove(name);
-        }
-        command
-            .env("ROUTER_CONFIG", &config)
-            .stdin(Stdio::null())
-            .stderr(Stdio::null())
-            .stdout(Stdio::null());
-        Ok(Limiter { child: command.kill_on_drop(true).spawn()?, address, config })
+        let places = Places { discovery: self.discovery.address, counter: self.counter.0 };
+        let limits = Limits { memory_mb: plan.memory_mb, sockets: SOCKETS };
+        let seed = plan.seed + u64::from(me);
+        Limiter::start(&plan.program, me, seed, places, limits, self.deployment.settings(me))
     }
 
     fn bytes(&self) -> u64 {
@@ -151,38 +108,6 @@
     }
 }
 
-async fn exchange(stream: &mut TcpStream, buffer: &mut Vec<u8>, message: &str) -> io::Result<u16> {
-    stream.write_all(message.as_bytes()).await?;
-    let Some(head) = read_head(stream, buffer).await? else {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    };
-    let length =
-        head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("content-length:").map(str::to_owned));
-    let length = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
-    while buffer.len() < length {
-        if stream.read_buf(buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-    buffer.drain(..length);
-    Ok(head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0))
-}
-
-async fn ready(limiter: &Limiter) -> Result<(), Error> {
-    let start = Instant::now();
-    while start.elapsed() < READY_MOST {
-        if let Ok(mut stream) = TcpStream::connect(limiter.address).await {
-            let mut buffer = Vec::new();
-            let asked = exchange(&mut stream, &mut buffer, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
-            if matches!(timeout(Duration::from_secs(1), asked).await, Ok(Ok(200))) {
-                return Ok(());
-            }
-        }
-        sleep(Duration::from_millis(5)).await;
-    }
-    Err(Error::NeverReady)
-}
-
 /// One request after the other on a connection; how long each took, in microseconds, and how many were served.
 async fn client(to: SocketAddr, ids: Vec<(u64, u64)>, spread: u32) -> io::Result<(Vec<u64>, u64)> {
     let (mut stream, mut buffer) = (TcpStream::connect(to).await?, Vec::new());
@@ -241,7 +166,9 @@
     let limiters: Vec<Limiter> =
         (0..plan.limiters).map(|me| world.limiter(plan, me)).collect::<io::Result<_>>()?;
     for limiter in &limiters {
-        ready(limiter).await?;
+        if !limiter.ready(READY_MOST).await {
+            return Err(Error::NeverReady);
+        }
     }
     let all = limiters.len() as f64;
     run.put("ready_s", start.elapsed().as_secs_f64());
@@ -291,7 +218,7 @@
     let before = total_cpu(limiters);
     let row = world.deployment.row(0, &world.servers.0.to_string(), "DRAINING");
     let start = Instant::now();
-    world.discovery.tell(&row);
+    world.discovery.tell(0, &row);
     while world.discovery.heard().len() < limiters.len() && start.elapsed() < CHANGE_MOST {
         sleep(Duration::from_millis(2)).await;
     }
--- a/scale/src/standins.rs
+++ b/scale/src/standins.rs
@@ -55,14 +55,18 @@
     format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
+/// Listens at a port of the system's choice.
+///
+/// # Errors
+/// Where no port can be had.
+pub async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     Ok((listener, address))
 }
 
 /// Accepts connections for ever and gives each to a task of its own.
-fn accept<F, T>(listener: TcpListener, seen: Rc<Seen>, mut serve: F)
+pub fn accept<F, T>(listener: TcpListener, seen: Rc<Seen>, mut serve: F)
 where
     F: FnMut(TcpStream) -> T + 'static,
     T: std::future::Future<Output = io::Result<()>> + 'static,
@@ -137,8 +141,9 @@
     pub address: SocketAddr,
     /// What it has seen.
     pub seen: Rc<Seen>,
-    whole: String,
+    rows: RefCell<Vec<String>>,
     version: Cell<u64>,
+    /// The row that the last change replaced.
     change: RefCell<String>,
     changed: Notify,
     /// When the last watch came that names the present version: its limiter has taken the change in.
@@ -153,7 +158,7 @@
         let discovery = Rc::new(Discovery {
             address,
             seen: seen.clone(),
-            whole: format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, rows.join(",")),
+            rows: RefCell::new(rows.to_vec()),
             version: Cell::new(1),
             change: RefCell::default(),
             changed: Notify::new(),
@@ -166,14 +171,18 @@
 
     /// Length of the whole list, in bytes.
     pub fn length(&self) -> usize {
-        self.whole.len()
+        self.whole().len()
     }
 
-    /// Tells all watches of a changed row.
-    pub fn tell(&self, row: &str) {
+    fn whole(&self) -> String {
+        list(self.version.get(), true, &self.rows.borrow().join(","))
+    }
+
+    /// Replaces a row, and tells all watches of it.
+    pub fn tell(&self, number: usize, row: &str) {
         self.version.set(self.version.get() + 1);
-        *self.change.borrow_mut() =
-            format!(r#"{{"seq":{},"whole":false,"hosts":[{row}]}}"#, self.version.get());
+        row.clone_into(&mut self.rows.borrow_mut()[number]);
+        *self.change.borrow_mut() = list(self.version.get(), false, row);
         self.heard.borrow_mut().clear();
         self.changed.notify_waiters();
     }
@@ -184,6 +193,10 @@
     }
 }
 
+fn list(version: u64, whole: bool, rows: &str) -> String {
+    format!(r#"{{"seq":{version},"whole":{whole},"hosts":[{rows}]}}"#)
+}
+
 async fn serve(discovery: Rc<Discovery>, mut stream: TcpStream) -> io::Result<()> {
     let mut buffer = Vec::new();
     let mut told = 0;
@@ -197,15 +210,15 @@
             discovery.heard.borrow_mut().push(Instant::now());
         }
         let body = match from {
-            None => discovery.whole.clone(),
+            None => discovery.whole(),
             Some(from) => {
                 if from == discovery.version.get() {
                     let _ = timeout(hold, discovery.changed.notified()).await;
                 }
-                if from == discovery.version.get() {
-                    format!(r#"{{"seq":{from},"whole":false,"hosts":[]}}"#)
-                } else {
-                    discovery.change.borrow().clone()
+                match discovery.version.get() - from.min(discovery.version.get()) {
+                    0 => list(from, false, ""),
+                    1 => discovery.change.borrow().clone(),
+                    _ => discovery.whole(),
                 }
             }
         };
