--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -167,6 +167,41 @@
     assert!(gets >= 1, "it is tried at all");
 }
 
+/// Guards against a cold server that looks old: clocks may be stepped back, so that its start seems to lie in the past,
+/// by seconds or by an hour, and before its earlier start; or in the future.
+#[test]
+fn a_server_that_has_just_started_is_cold_whatever_its_clock_says() {
+    for restarted in [true, false] {
+        for (back, ahead) in [(0, 0), (5 * S, 0), (3_600 * S, 0), (0, 3_600 * S)] {
+            let mut host = Host::new(settings(), 2);
+            host.now += 10_000 * S;
+            host.serve = (0..3).collect();
+            let (mut start, server) = (0, if restarted { 1 } else { 2 });
+            if restarted {
+                host.list(ListKind::Delta, vec![Entry { started: host.now - 50 * S, ..entry(1) }]);
+            }
+            for id in 0..300 {
+                host.ask(id, 0, 3, 4 * S);
+                host.wait(20 * MS);
+                if id % 50 == 0 {
+                    // Discovery answers in time, with nothing new.
+                    host.list(ListKind::Delta, Vec::new());
+                }
+                if id == 160 {
+                    start = host.now;
+                    let started = start + ahead - back;
+                    host.list(ListKind::Delta, vec![Entry { started, ..entry(server) }]);
+                }
+            }
+            // Fifty a second: a warm one gets a half or a third. Twice a quarter of that, over one second.
+            let first =
+                host.sends.iter().filter(|s| s.3 == server && s.0 >= start && s.0 < start + S).count();
+            assert!(first <= 12, "restarted {restarted}, {back} us back, {ahead} ahead: {first} at first");
+            assert!(first >= 1, "restarted {restarted}, {back} us back, {ahead} ahead: it is tried at all");
+        }
+    }
+}
+
 #[test]
 fn the_ceiling_holds_over_gateways_that_restart_and_a_counter_that_forgets() {
     let mut sent = 0;
