Take a server that has just been listed for one that has just started

Cause: on_servers believed each birth as it stands, and took only a later one for a restart. Where the clock of a server's machine, or of the limiter's, was stepped, a server that had just started looked as old as the step and got no slow start at all (an hour), or a ramp ahead of its warming (5 s).

Change: any other birth than the one known is a restart; a server that discovery names for the first time, or anew, has started no earlier than the answer before, less an age that leaves its budget whole (Rules::safe_age, 3.3 s with the settings of the site). The module hears of answers without news too, so after an outage births are believed for its length. Ruled out: the first list of a process, where nothing tells an old server from a new one; that stays with the windows of quotas by a wrong clock.

--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -88,8 +88,6 @@
     began: Instant,
     next: Next,
     backoff: Duration,
-    /// The module has been told of a failure, and of no answer since.
-    failed: bool,
 }
 
 impl<'a> Follower<'a> {
@@ -110,7 +108,6 @@
             began: now,
             next: if ask && !moved { Next::Told } else { Next::Begin(now) },
             backoff: BACKOFF.0,
-            failed: false,
         }
     }
 
@@ -180,7 +177,6 @@
     }
 
     fn tell_failure(&mut self) {
-        self.failed = true;
         self.next = Next::Told;
         self.core.feed(Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
     }
@@ -203,10 +199,10 @@
         // whoever is not named then may well be there.
         if list.whole && list.spoilt == 0 {
             self.core.learn(ListKind::Full, &list);
-        } else if !list.hosts.is_empty() || self.failed {
+        } else {
+            // Also where nothing has changed: the module knows by that how old news can be.
             self.core.learn(ListKind::Delta, &list);
         }
-        self.failed = false;
         self.core.ready.set(true);
         if list.spoilt > 0 {
             self.core.log_limiter.warn(format_args!("discovery: {} rows make no sense", list.spoilt));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,6 +45,8 @@
     sweep_at: Micros,
     watch_at: Micros,
     watch_wait: Micros,
+    /// When discovery last answered.
+    discovery_answered: Option<Micros>,
     servers: Vec<Option<Server>>,
     customers: BTreeMap<u64, Customer>,
     /// Customers for which something waits, and when idle ones are forgotten.
@@ -88,6 +90,7 @@
             sweep_at: 0,
             watch_at: Micros::MAX,
             watch_wait: WATCH_WAIT.0,
+            discovery_answered: None,
             servers: Vec::new(),
             customers: BTreeMap::new(),
             holding: BTreeSet::new(),
--- a/src/rules/membership.rs
+++ b/src/rules/membership.rs
@@ -26,6 +26,7 @@
             _ => (self.watch_at, self.watch_wait) = (Micros::MAX, WATCH_WAIT.0),
         }
         let first = self.servers.is_empty();
+        let earliest = self.earliest_start(kind);
         if kind != ListKind::Delta {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (id, server) in self.servers.iter_mut().enumerate() {
@@ -56,16 +57,18 @@
                 ..Server::default()
             });
             let back = !server.ready && entry.state == Lifecycle::Ready;
-            let restarted = entry.started > server.started;
+            // Clocks may be stepped back: any other start than the one known is a new one.
+            let restarted = known && entry.started > 0 && entry.started != server.started;
             server.ready = entry.state == Lifecycle::Ready;
             server.gone = entry.state == Lifecycle::Gone;
             server.started = entry.started;
             let recent = entry.started > 0 && now < entry.started + self.set.rules.cold;
-            if recent && (!known || restarted) || back || (!known && !first) {
+            if recent && !known || restarted || back || (!known && !first) {
                 // Guards any fresh process, however discovery words it. Since its start where that is told:
                 // the list may come late, and it warms meanwhile.
                 let fresh = entry.started > 0 && (!back || restarted);
-                server.begin_slow_start(if fresh { entry.started.min(now) } else { now }, now, chance);
+                let since = if fresh { entry.started.max(earliest).min(now) } else { now };
+                server.begin_slow_start(since, now, chance);
                 server.reports.clear();
                 if restarted {
                     server.outs.clear();
@@ -78,6 +81,17 @@
         }
     }
 
+    /// The earliest time at which a server can have started of which discovery tells now, and did not tell
+    /// with its last answer; 0 where it has not answered before. Guards against births by clocks that were
+    /// stepped back.
+    fn earliest_start(&mut self, kind: ListKind) -> Micros {
+        if kind == ListKind::Cached {
+            return 0;
+        }
+        let answered = self.discovery_answered.replace(self.now);
+        answered.map_or(0, |at| at.saturating_sub(self.set.rules.safe_age()))
+    }
+
     /// Asks for a watch after a half to one and a half times this wait: calls that fail all at once must not
     /// come back all at once, as one small discovery serves all gateways.
     pub(super) fn watch_in(&mut self, wait: Micros, out: &mut Vec<Action>) {
--- a/src/rules/slow_start.rs
+++ b/src/rules/slow_start.rs
@@ -6,6 +6,22 @@
 /// Share of the fall budget that is used: the rest covers uneven gateways and chance.
 const COLD_SHARE: f64 = 0.5;
 
+/// The same at the most, for a server that is taken for older than it is.
+const COLD_SHARE_MOST: f64 = 0.75;
+
+impl Rules {
+    /// Age that a server may wrongly be taken to have when it starts, in microseconds: what it gets then
+    /// still leaves some of its budget. Lists are told within that time unless discovery cannot be reached.
+    pub(super) fn safe_age(&self) -> Micros {
+        let growth = 1.0 - self.cold_from;
+        if growth <= 0.0 {
+            return self.cold;
+        }
+        let share = self.cold_from * (COLD_SHARE_MOST / COLD_SHARE - 1.0) / growth;
+        (share.min(1.0) * self.cold as f64) as Micros
+    }
+}
+
 impl Server {
     /// Counts as cold since a time. A part of a first token by chance: hundreds of gateways that all start at
     /// nought would all send at one moment, or none before it is warm.
