--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -167,6 +167,41 @@
     assert!(gets >= 1, "it is tried at all");
 }
 
+/// Guards against a refusal that does not say when to come back, where the settings allow that: nothing else keeps its
+/// client from asking again at once.
+#[test]
+fn every_refusal_says_when_to_come_back_where_that_is_allowed() {
+    for allowed in [true, false] {
+        let mut set = settings();
+        set.permissions.retry_after = allowed;
+        let mut host = Host::new(set, 1);
+        // One meets a server that turns it away, one finds no server, one has no time, the rest exceed the quota.
+        host.ask(1, 0, 3, 4 * S);
+        host.wait(5 * MS);
+        host.done(1, 0, 0, Status::Full);
+        host.list(ListKind::Delta, vec![Entry { state: Lifecycle::Draining, ..entry(0) }]);
+        host.ask(2, 0, 3, 4 * S);
+        host.ask(3, 0, 3, 0);
+        for id in 4..40 {
+            host.ask(id, 0, 0, 4 * S);
+        }
+        host.wait(5 * S);
+        let mut refusals = 0;
+        for (id, answer) in &host.answers {
+            if let Action::Refuse { retry_after, .. } = answer {
+                refusals += 1;
+                assert_eq!(*retry_after > 0, allowed, "request {id}: {answer:?}");
+                assert!(*retry_after <= host_most(), "request {id}: {answer:?}");
+            }
+        }
+        assert_eq!(refusals, 39, "{:?}", host.answers);
+    }
+}
+
+fn host_most() -> Micros {
+    settings().permissions.max_retry_after
+}
+
 /// Guards against a cold server that looks old: clocks may be stepped back, so that its start seems to lie in the past,
 /// by seconds or by an hour, and before its earlier start; or in the future.
 #[test]
