--- a/limeway/tests/common/limiter.rs
+++ b/limeway/tests/common/limiter.rs
@@ -199,7 +199,7 @@
     pub child: Child,
     /// The configuration that it was started with, and the file that holds it.
     pub config: String,
-    path: PathBuf,
+    pub path: PathBuf,
     pub address: SocketAddr,
     /// The other limiter's socket.
     pub peer: UdpSocket,
@@ -265,6 +265,11 @@
         self.signal("-HUP");
     }
 
+    /// Tells it to take in its configuration anew, as the file stands.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let end = Instant::now() + LONG;
