Hear signals by flags, so that an interrupted or lost wake-up neither ends the process nor hides them

Cause: the runtime's signal driver reads its pipe without a second try and panics on EINTR ("Bad read on self-pipe"), and a handler whose write to the pipe fails is never heard of.

Change: signal-hook sets a flag for each signal and wakes the runtime through a pipe of ours, which is read like any connection; the flags are looked at every 100 ms beside. Ruled out: accept, epoll_wait, socket and connect errors alone, which lost nothing.

--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod request;
 mod servers;
+mod signals;
 mod start_error;
 mod stream_io;
 mod zones;
@@ -29,12 +30,12 @@
 use config::Config;
 use descriptors::Descriptors;
 use loop_lag::LoopLag;
+use signals::{Request, Signals};
 use start_error::StartError;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -79,15 +80,9 @@
     ExitCode::FAILURE
 }
 
-fn listen_for(kind: SignalKind) -> Result<Signal, StartError> {
-    signal(kind).map_err(StartError::Signals)
-}
-
 async fn serve(lag: Arc<LoopLag>) -> Result<(), StartError> {
     // Before all else: a signal that comes early must not find its default action, which ends the process.
-    let mut terminate = listen_for(SignalKind::terminate())?;
-    let mut interrupt = listen_for(SignalKind::interrupt())?;
-    let mut hangup = listen_for(SignalKind::hangup())?;
+    let signals = Signals::listen().map_err(StartError::Signals)?;
     let config = Config::load(env)?;
     let listener = clients::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
     let peers = match &config.peers {
@@ -113,17 +108,9 @@
     let stop_listening = Rc::new(Notify::new());
     let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
-    // Also while it ends, which may take as long as the longest deadline.
-    let reloading = core.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reload(&reloading);
-        }
-    });
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let told_to_end = Rc::new(Notify::new());
+    spawn_local(heed(signals, core.clone(), told_to_end.clone()));
+    told_to_end.notified().await;
     log::info!("ending: {} requests are open", core.unanswered());
     core.end();
     let told = Instant::now();
@@ -149,6 +136,16 @@
     Ok(())
 }
 
+/// Heeds signals for ever: also while the process ends, which may take as long as the longest deadline.
+async fn heed(mut signals: Signals, core: Rc<Core>, told_to_end: Rc<Notify>) {
+    loop {
+        match signals.next().await {
+            Request::Reload => reload(&core),
+            Request::End => told_to_end.notify_one(),
+        }
+    }
+}
+
 /// Takes in the file anew; one that cannot be used changes nothing.
 fn reload(core: &Core) {
     match core.places.get().reread(env) {
