--- a/limeway/src/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -1,12 +1,12 @@
 //! One client's connection: requests are read in turn, and each gets exactly one answer.
 
-use crate::attempts::Forward;
-use crate::client_table::{ClientTable, Closing, Phase, Place};
-use crate::connection;
+use crate::clients::client_table::{ClientTable, Closing, Phase, Place};
+use crate::clients::request::{self, ClientMessage, Reject};
 use crate::core::{Answer, Core};
-use crate::http::{self, Body, Head};
-use crate::request::{self, ClientMessage, Reject};
-use crate::stream_io::{read_some, uninterrupted, write_whole};
+use crate::network::connection;
+use crate::network::http::{self, Body, Head};
+use crate::network::stream_io::{read_some, uninterrupted, write_whole};
+use crate::upstream::attempts::Forward;
 use bytes::BytesMut;
 use pondgw::{Demand, Micros};
 use std::io::{self, ErrorKind, Read};
@@ -398,5 +398,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/client_connection.rs"]
+#[path = "../../tests/unit/client_connection.rs"]
 mod tests;
--- a/limeway/src/client_table.rs
+++ b/limeway/src/clients/client_table.rs
@@ -6,7 +6,7 @@
 //! with an answer if no other can go for it; between the third and the limit there is room for those answers. So
 //! connections are accepted at once, and none waits in the system's queue for another to go.
 
-use crate::descriptors::{Descriptors, Held, Owner};
+use crate::network::descriptors::{Descriptors, Held, Owner};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -255,5 +255,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/client_table.rs"]
+#[path = "../../tests/unit/client_table.rs"]
 mod tests;
--- a/limeway/src/request.rs
+++ b/limeway/src/clients/request.rs
@@ -1,7 +1,7 @@
 //! A client's request as it stands in the message: checked all through before anything else hears of it.
 
-use crate::attempts::Forward;
-use crate::http::{Framing, Head, HttpError};
+use crate::network::http::{Framing, Head, HttpError};
+use crate::upstream::attempts::Forward;
 use pondgw::{Demand, Effect, Setup};
 
 /// Longest wait that a client may state, in milliseconds.
--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -1,7 +1,7 @@
 //! The JSON configuration and the environment, checked; each error names its key.
 
-use crate::catalog::List;
-use crate::descriptors::SOCKETS_LEAST;
+use crate::discovery::catalog::List;
+use crate::network::descriptors::SOCKETS_LEAST;
 use pondgw::Setup;
 use serde::Deserialize;
 use std::fmt;
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -1,15 +1,15 @@
 //! The one `Gateway` with its events, actions, timers, and the table of open requests and attempts.
 //! Holds no policy: what the module asks for is carried out, within what the site permits.
 
-use crate::attempts::{Attempts, Forward, Start};
-use crate::catalog::List;
 use crate::clock::Clock;
 use crate::config::{Config, Places};
-use crate::descriptors::Descriptors;
+use crate::discovery::catalog::List;
 use crate::log_limiter::LogLimiter;
-use crate::loop_lag::LoopLag;
-use crate::network_event::{End, EventSink, NetworkEvent, Served};
-use crate::servers::Pools;
+use crate::network::descriptors::Descriptors;
+use crate::network::loop_lag::LoopLag;
+use crate::network::network_event::{End, EventSink, NetworkEvent, Served};
+use crate::upstream::attempts::{Attempts, Forward, Start};
+use crate::upstream::servers::Pools;
 use crate::{counter, peers};
 use pondgw::*;
 use std::cell::{Cell, RefCell};
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -1,8 +1,8 @@
 //! Calls to the counter.
 
-use crate::connection::{Broken, Conn, Reply};
-use crate::descriptors::{self, Descriptors, Held, Owner};
-use crate::network_event::{EventSink, NetworkEvent};
+use crate::network::connection::{Broken, Conn, Reply};
+use crate::network::descriptors::{self, Descriptors, Held, Owner};
+use crate::network::network_event::{EventSink, NetworkEvent};
 use pondgw::{Micros, Status};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -1,35 +1,25 @@
 //! limeway: a quota limiter on real sockets, round the decisions of `pondgw`. Start, signals, exit code.
 #![forbid(unsafe_code)]
 
-mod attempts;
-mod catalog;
-mod client_connection;
-mod client_table;
 mod clients;
 mod clock;
 mod config;
-mod connection;
 mod core;
 mod counter;
-mod descriptors;
 mod discovery;
-mod http;
 mod log_limiter;
-mod loop_lag;
-mod network_event;
+mod network;
 mod peers;
-mod request;
-mod servers;
 mod signals;
 mod start_error;
-mod stream_io;
-mod zones;
+mod upstream;
 
 use crate::core::Core;
-use client_table::{ClientTable, Closing};
+use clients::client_table::{ClientTable, Closing};
+use clients::listener;
 use config::Config;
-use descriptors::Descriptors;
-use loop_lag::LoopLag;
+use network::descriptors::Descriptors;
+use network::loop_lag::LoopLag;
 use signals::{Request, Signals};
 use start_error::StartError;
 use std::process::ExitCode;
@@ -84,7 +74,7 @@
     // Before all else: a signal that comes early must not find its default action, which ends the process.
     let signals = Signals::listen().map_err(StartError::Signals)?;
     let config = Config::load(env)?;
-    let listener = clients::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
+    let listener = listener::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
     let peers = match &config.peers {
         Some((address, all)) => {
             let bound = peers::Peers::bind(*address, all.clone()).await;
@@ -98,7 +88,7 @@
     let core = Core::new(config, peers, descriptors, lag);
 
     spawn_local(core.clone().run_timers());
-    spawn_local(discovery::run(core.clone()));
+    spawn_local(discovery::follower::run(core.clone()));
     if let Some(peers) = &core.peers {
         let me = core.config.setup.settings.me as usize;
         spawn_local(peers::run(peers.clone(), me, core.sink.clone()));
@@ -106,7 +96,7 @@
     spawn_local(housekeeping(core.clone()));
     spawn_local(core.lag.clone().watch());
     let stop_listening = Rc::new(Notify::new());
-    let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
+    let accepting = spawn_local(listener::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
     let told_to_end = Rc::new(Notify::new());
     spawn_local(heed(signals, core.clone(), told_to_end.clone()));
--- a/limeway/src/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -1,8 +1,8 @@
 //! A connection of the limiter's own, to a server, the counter or discovery: one message there, one answer back.
 
-use crate::descriptors::Held;
-use crate::http::{self, Body};
-use crate::stream_io::{read_some, uninterrupted, write_whole};
+use crate::network::descriptors::Held;
+use crate::network::http::{self, Body};
+use crate::network::stream_io::{read_some, uninterrupted, write_whole};
 use bytes::BytesMut;
 use std::cell::Cell;
 use std::fmt;
--- a/limeway/src/descriptors.rs
+++ b/limeway/src/network/descriptors.rs
@@ -133,5 +133,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/descriptors.rs"]
+#[path = "../../tests/unit/descriptors.rs"]
 mod tests;
--- a/limeway/src/stream_io.rs
+++ b/limeway/src/network/stream_io.rs
@@ -31,5 +31,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/stream_io.rs"]
+#[path = "../../tests/unit/stream_io.rs"]
 mod tests;
--- a/limeway/src/peers.rs
+++ b/limeway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between limiters.
 
-use crate::network_event::{EventSink, NetworkEvent};
+use crate::network::network_event::{EventSink, NetworkEvent};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/limeway/src/signals.rs
+++ b/limeway/src/signals.rs
@@ -3,7 +3,7 @@
 //! The flags are what counts. A write to the pipe may fail and a read from it may be interrupted, so the flags are also
 //! looked at from time to time.
 
-use crate::stream_io::read_some;
+use crate::network::stream_io::read_some;
 use bytes::BytesMut;
 use std::io;
 use std::os::unix::net::UnixStream as Pipe;
--- a/limeway/src/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -1,11 +1,11 @@
 //! Attempts at servers, and the outcome of each.
 
 use crate::clock::Clock;
-use crate::connection::{Broken, Conn, Reply};
-use crate::http;
 use crate::log_limiter::LogLimiter;
-use crate::network_event::{End, EventSink, NetworkEvent, Served};
-use crate::servers::{Pools, Taken};
+use crate::network::connection::{Broken, Conn, Reply};
+use crate::network::http;
+use crate::network::network_event::{End, EventSink, NetworkEvent, Served};
+use crate::upstream::servers::{Pools, Taken};
 use pondgw::{Load, Micros, RequestId, ServerId, Status};
 use std::cell::Cell;
 use std::io;
@@ -205,5 +205,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/attempts.rs"]
+#[path = "../../tests/unit/attempts.rs"]
 mod tests;
--- a/limeway/src/servers.rs
+++ b/limeway/src/upstream/servers.rs
@@ -1,9 +1,9 @@
 //! Servers as discovery lists them, and pools of connections to them.
 
-use crate::catalog::{Health, List};
-use crate::connection::{Conn, IdleState};
-use crate::descriptors::{Descriptors, Held, Owner};
-use crate::zones::Zones;
+use crate::discovery::catalog::{Health, List};
+use crate::network::connection::{Conn, IdleState};
+use crate::network::descriptors::{Descriptors, Held, Owner};
+use crate::upstream::zones::Zones;
 use pondgw::{Entry, Lifecycle, ListKind, ServerId, Setup};
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/limeway/src/zones.rs
+++ b/limeway/src/upstream/zones.rs
@@ -43,5 +43,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/zones.rs"]
+#[path = "../../tests/unit/zones.rs"]
 mod tests;
