Name things by the field's words, and end the circle between reports and state

`room` is outstanding_limit, `told` is reported, ending_since, on_request or NOTIFIED_AFTER by what it means; SECOND moves to the interface, so that reports.rs no longer needs state.rs, which holds its type. Nothing else changes.

--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -125,7 +125,7 @@
     /// The process has been told to end.
     pub draining: Cell<bool>,
     /// When that was.
-    told: Cell<Micros>,
+    ending_since: Cell<Micros>,
     /// For what could be told with each request.
     pub log_limiter: Rc<LogLimiter>,
     state: RefCell<State>,
@@ -186,7 +186,7 @@
             watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
-            told: Cell::new(0),
+            ending_since: Cell::new(0),
             log_limiter,
             state: RefCell::new(State {
                 gateway,
@@ -205,13 +205,13 @@
     /// The process has been told to end.
     pub fn end(&self) {
         self.draining.set(true);
-        self.told.set(self.clock.now());
+        self.ending_since.set(self.clock.now());
     }
 
     /// Time that a request may take which comes now: less than its client gives it where the process will be
     /// killed before.
     fn time_left(&self, left: Micros) -> Micros {
-        let passed = self.clock.now().saturating_sub(self.told.get());
+        let passed = self.clock.now().saturating_sub(self.ending_since.get());
         if !self.draining.get() || passed < ENDING.0 {
             return left;
         }
--- a/limeway/src/discovery/follower.rs
+++ b/limeway/src/discovery/follower.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// What discovery has counts as told so long after it had it and could be reached (protocol page).
-const TOLD: Duration = Duration::from_secs(6);
+const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
 /// Time after which an answer is late, and another call begins: a quarter of the time above, so that a watch with
 /// its wait, the time in which it is late, and the time for the answer to the next call stay within it.
 const LATE: Duration = Duration::from_millis(1_500);
@@ -66,7 +66,7 @@
     /// The newest call is late.
     Late(Instant),
     /// A call begins when the module says so.
-    Told,
+    OnRequest,
 }
 
 /// A list, and the connection that it came on if that can be used again.
@@ -106,16 +106,16 @@
             calls: JoinSet::new(),
             order: VecDeque::new(),
             began: now,
-            next: if ask && !moved { Next::Told } else { Next::Begin(now) },
+            next: if ask && !moved { Next::OnRequest } else { Next::Begin(now) },
             backoff: BACKOFF.0,
         }
     }
 
     async fn run(mut self) {
         loop {
-            let (told, at) = match self.next {
+            let (on_request, at) = match self.next {
                 Next::Begin(at) | Next::Late(at) => (false, at),
-                Next::Told => (true, self.began),
+                Next::OnRequest => (true, self.began),
             };
             tokio::select! {
                 biased;
@@ -124,8 +124,8 @@
                     Ok((id, Err(e))) => self.on_failure(id, &e),
                     Err(e) => self.on_failure(e.id(), &io::Error::other("the call was ended")),
                 },
-                () = self.core.watch.notified(), if told => self.next = Next::Begin(Instant::now()),
-                () = sleep_until(at), if !told => match self.next {
+                () = self.core.watch.notified(), if on_request => self.next = Next::Begin(Instant::now()),
+                () = sleep_until(at), if !on_request => match self.next {
                     Next::Begin(_) => self.begin(),
                     _ => self.on_late(),
                 },
@@ -156,7 +156,7 @@
         log::info!("discovery: no answer after {:?}", self.began.elapsed());
         self.hold_ms = FIRST_HOLD_MS;
         if self.ask && !watch {
-            self.tell_failure();
+            self.report_failure();
         } else {
             self.next = Next::Begin(Instant::now());
         }
@@ -170,14 +170,14 @@
         }
         self.hold_ms = FIRST_HOLD_MS;
         if self.ask {
-            self.tell_failure();
+            self.report_failure();
         } else {
             self.back_off();
         }
     }
 
-    fn tell_failure(&mut self) {
-        self.next = Next::Told;
+    fn report_failure(&mut self) {
+        self.next = Next::OnRequest;
         self.core.feed(Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
     }
 
@@ -263,7 +263,7 @@
         let list = serde_json::from_slice(&body)?;
         Ok((list, keep.then_some(open)))
     };
-    timeout(Duration::from_millis(hold_ms) + TOLD, exchange).await?
+    timeout(Duration::from_millis(hold_ms) + NOTIFIED_AFTER, exchange).await?
 }
 
 #[cfg(test)]
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -98,15 +98,15 @@
     let stop_listening = Rc::new(Notify::new());
     let accepting = spawn_local(listener::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
-    let told_to_end = Rc::new(Notify::new());
-    spawn_local(heed(signals, core.clone(), told_to_end.clone()));
-    told_to_end.notified().await;
+    let end_requested = Rc::new(Notify::new());
+    spawn_local(heed(signals, core.clone(), end_requested.clone()));
+    end_requested.notified().await;
     log::info!("ending: {} requests are open", core.unanswered());
     core.end();
-    let told = Instant::now();
+    let ending_since = Instant::now();
     sleep(CLOSE_IDLE).await;
     table.close_idle(Closing::Used);
-    while told.elapsed() < LISTEN_ON.1 && table.quiet_for() < LISTEN_ON.0 {
+    while ending_since.elapsed() < LISTEN_ON.1 && table.quiet_for() < LISTEN_ON.0 {
         sleep(Duration::from_millis(10)).await;
     }
     // What waits to be accepted was connected before: it is taken first.
@@ -127,11 +127,11 @@
 }
 
 /// Heeds signals for ever: also while the process ends, which may take as long as the longest deadline.
-async fn heed(mut signals: Signals, core: Rc<Core>, told_to_end: Rc<Notify>) {
+async fn heed(mut signals: Signals, core: Rc<Core>, end_requested: Rc<Notify>) {
     loop {
         match signals.next().await {
             Request::Reload => reload(&core),
-            Request::End => told_to_end.notify_one(),
+            Request::End => end_requested.notify_one(),
         }
     }
 }
--- a/limeway/tests/unit/follower.rs
+++ b/limeway/tests/unit/follower.rs
@@ -16,12 +16,12 @@
         for grace in [0, 200_000, 1_000_000, 9_000_000] {
             for hold in [None, Some(FIRST_HOLD_MS), Some(HOLD_MS)] {
                 let late = late_after(&setup(ask, grace), hold);
-                assert!(late + LATE <= TOLD, "asked {ask}, {hold:?}, grace {grace} us: {late:?}");
+                assert!(late + LATE <= NOTIFIED_AFTER, "asked {ask}, {hold:?}, grace {grace} us: {late:?}");
             }
         }
     }
     // Each of those under way has that long, too.
-    assert!(LATE * CALLS_MOST as u32 >= TOLD);
+    assert!(LATE * CALLS_MOST as u32 >= NOTIFIED_AFTER);
 }
 
 /// Guards against a new process that goes on by its old list for longer than the time of grace.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,9 @@
 
 /// A time or a length of time, in microseconds.
 pub type Micros = u64;
+
+/// Seconds in a microsecond.
+pub(crate) const SECOND: f64 = 1e-6;
 /// A request's identifier, chosen by the host and never reused.
 pub type RequestId = u64;
 /// A server's index, chosen by the host; the same for as long as the server keeps its address.
--- a/src/reports.rs
+++ b/src/reports.rs
@@ -1,8 +1,7 @@
 //! What servers report of their load, as one gateway of many hears it: now and then, late, and noisy.
 //! Decides what a server is believed to hold and how much slower than its fellows it works.
 
-use crate::interface::{Load, Micros};
-use crate::state::SECOND;
+use crate::interface::{Load, Micros, SECOND};
 
 /// Weight of a new report in the means over all servers: some ten answers make them up.
 const LEARN: f64 = 0.1;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,7 +63,7 @@
     latency: Vec<f64>,
     fleet: Fleet,
     /// Bound on all that is out, mean latency over the objective, and the last cut of the bound.
-    room: f64,
+    outstanding_limit: f64,
     busy: f64,
     cut_at: Micros,
     retries: f64,
@@ -104,7 +104,7 @@
             alarms: BTreeSet::new(),
             latency,
             fleet: Fleet::default(),
-            room: f64::INFINITY,
+            outstanding_limit: f64::INFINITY,
             busy: BUSY,
             cut_at: 0,
             retries: RETRIES.1,
--- a/src/rules/concurrency.rs
+++ b/src/rules/concurrency.rs
@@ -15,9 +15,9 @@
 /// Share of the objective between two cuts of a limit: what was sent before the last cut has its say first.
 pub(super) const CUT_EVERY: f64 = 0.25;
 /// Share of the objective for the mean over all servers: few answers, of uneven work, make it up.
-const ROOM_BUSY: f64 = 0.3;
+const OUTSTANDING_BUSY: f64 = 0.3;
 /// Growth of the bound on all that is out, in requests, with each fast answer while it is used.
-const ROOM_GROW: f64 = 0.25;
+const OUTSTANDING_GROW: f64 = 0.25;
 
 impl Gateway {
     /// What the latency of an answer tells: of the server's speed, and how much may be out there and at all.
@@ -37,12 +37,13 @@
         }
         // The same over all servers: one of many gateways hears too little of each to bound it alone.
         self.busy += LEARN * (took / slo - self.busy);
-        if self.busy > ROOM_BUSY && now > self.cut_at + (slo * CUT_EVERY) as u64 {
-            self.room = self.room.min(outs) * (ROOM_BUSY / self.busy).clamp(0.5, CUT);
-            self.room = self.room.max(least);
+        if self.busy > OUTSTANDING_BUSY && now > self.cut_at + (slo * CUT_EVERY) as u64 {
+            self.outstanding_limit =
+                self.outstanding_limit.min(outs) * (OUTSTANDING_BUSY / self.busy).clamp(0.5, CUT);
+            self.outstanding_limit = self.outstanding_limit.max(least);
             self.cut_at = now;
-        } else if self.busy < ROOM_BUSY && outs >= self.room * 0.75 {
-            self.room += ROOM_GROW;
+        } else if self.busy < OUTSTANDING_BUSY && outs >= self.outstanding_limit * 0.75 {
+            self.outstanding_limit += OUTSTANDING_GROW;
         }
     }
 }
--- a/src/rules/selection.rs
+++ b/src/rules/selection.rs
@@ -5,7 +5,7 @@
 /// Factor on the cost of a cold server that may be sent to.
 const COLD_FIRST: f64 = 0.25;
 /// Requests that a server may report to hold, by the speed of its fellows, before it gets no more.
-const TOLD_MOST: f64 = 6.0;
+const REPORTED_MOST: f64 = 6.0;
 /// Least part of what is let through that servers are taken to be able to do where they report nothing.
 const ANSWERED_LEAST: f64 = 0.5;
 
@@ -35,10 +35,10 @@
         }
         // Bounds below one request a server hold too: many gateways share a small fleet.
         let (limits, outs) = self.load();
-        let told = self.fleet.known();
+        let reported = self.fleet.known();
         // Reports stand for the bounds of single servers, not for the one over all: a report of one server is
         // seconds old by the next request, while answers of all together tell at once that too much is out.
-        let bound = if told { self.room } else { limits.min(self.room) };
+        let bound = if reported { self.outstanding_limit } else { limits.min(self.outstanding_limit) };
         let full = outs >= bound.max(1.0);
         let half_open = class.effect != Effect::Unsafe && request.attempts.is_empty();
         let same = |server: &Server| match (class.effect, class.scope, group) {
@@ -55,7 +55,7 @@
             }
             server.fill_slow_start(&self.set.rules, now, share);
             let mine = server.outs.len() as f64;
-            let jammed = server.reports.backlog(&self.fleet, now) > TOLD_MOST;
+            let jammed = server.reports.backlog(&self.fleet, now) > REPORTED_MOST;
             let cost = match server.health {
                 // One safe or keyed request at a time tests an ejected server.
                 Health::Ejected(until) if half_open && now >= until => -1.0,
--- a/src/rules/slow_start.rs
+++ b/src/rules/slow_start.rs
@@ -1,6 +1,6 @@
 //! Slow start: a cold server gets this gateway's part of what it can take without falling over.
 
-use crate::interface::{Micros, Rules};
+use crate::interface::{Micros, Rules, SECOND};
 use crate::state::*;
 
 /// Share of the fall budget that is used: the rest covers uneven gateways and chance.
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,9 +14,6 @@
     hasher.finish() >> 1
 }
 
-/// Seconds in a microsecond.
-pub(crate) const SECOND: f64 = 1e-6;
-
 /// A token bucket.
 #[derive(Default)]
 pub(crate) struct Bucket {
