Say with every refusal when to come back, where the settings allow it

Cause: finish() refused a request that found no server, or had no time left, with a wait of 0, so that no Retry-After was sent; the terms ask for it with each request that is given up.

Change: such a refusal advises the longest wait that clients follow, and none of the others less than a millisecond.

All rules kept.

--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -8,6 +8,9 @@
 /// (fleet page).
 const HELD_UP: Micros = 150_000;
 
+/// Shortest wait that a client is advised, in microseconds: HTTP gives it in milliseconds.
+const RETRY_AFTER_LEAST: Micros = 1_000;
+
 impl Gateway {
     /// An attempt has ended: its server is judged, and its request goes on or ends.
     pub(super) fn on_outcome(&mut self, outcome: &Outcome, out: &mut Vec<Action>) {
@@ -111,7 +114,8 @@
     pub(super) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         if request.attempts.iter().all(|a| a.fate == Fate::NeverRan) {
-            return self.refuse(id, 0, out);
+            // For want of a server or of time: what would help is less load, so the longest wait is advised.
+            return self.refuse(id, self.set.permissions.max_retry_after, out);
         }
         out.push(Action::Fail { id });
         self.close(id, out);
@@ -119,7 +123,8 @@
 
     pub(super) fn refuse(&mut self, id: RequestId, wait: Micros, out: &mut Vec<Action>) {
         let allow = &self.set.permissions;
-        let retry_after = if allow.retry_after { wait.min(allow.max_retry_after) } else { 0 };
+        let wait = wait.max(RETRY_AFTER_LEAST).min(allow.max_retry_after);
+        let retry_after = if allow.retry_after { wait } else { 0 };
         out.push(Action::Refuse { id, retry_after });
         self.close(id, out);
     }
