Show by a test that an attempt is written though its client left before

A process that is held up finds the connection of an attempt up and its client gone at once, and writes first: 0.12 s after the client has left in the test.

--- a/limeway/tests/departures.rs
+++ b/limeway/tests/departures.rs
@@ -110,3 +110,66 @@
         assert!(one.requests.try_recv().is_err(), "nothing further is sent on");
     }
 }
+
+/// Guards against a request that is sent on by an event that came just before its client left, where a process that is
+/// held up finds both at once.
+#[test]
+fn a_request_whose_client_left_while_the_limiter_was_held_up_is_not_sent_on() {
+    for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
+        for round in 0..4 {
+            let (one, (go, wait)) = (server(ok), channel::<()>());
+            let (wait, (tell, answered)) = (Mutex::new(wait), channel());
+            let counter = server(move |_, _, stream| {
+                let _ = wait.lock().expect("no panic while it is held").recv_timeout(LONG);
+                reply(stream, "200 OK", "1");
+                let _ = tell.send(());
+            });
+            let limiter = Setup::new(&[&one], &counter).start();
+            let mut client = limiter.client();
+            client.write(&request("look", "left", "team", 20_000));
+            counter.requests.recv_timeout(LONG).expect("a call");
+            limiter.pause();
+            go.send(()).expect("it waits");
+            answered.recv_timeout(LONG).expect("the counter's answer");
+            leave(&client, how);
+            drop(client);
+            // Not to order events: an attempt may begin up to 0.1 s after its client has left.
+            std::thread::sleep(std::time::Duration::from_millis(120));
+            limiter.resume();
+            turns(&limiter);
+            go.send(()).expect("it waits");
+            assert_eq!(limiter.client().ask(&request("look", "stays", "team", 20_000)).status(), 200);
+            let (_, first) = one.requests.recv_timeout(LONG).expect("a request");
+            assert_eq!(first.header("req-id"), Some("stays"), "{how:?}, round {round}");
+        }
+    }
+}
+
+/// The same where its connection to a server came up just before.
+#[test]
+fn a_request_whose_client_left_just_after_its_connection_came_up_is_not_sent_on() {
+    for how in [Leaving::Closes, Leaving::HalfCloses, Leaving::Resets] {
+        let (withheld, (counter, _answered)) = (Withheld::new(), telling_counter());
+        let stand_in = Server { address: withheld.address, requests: channel().1 };
+        let mut setup = Setup::new(&[&stand_in], &counter);
+        setup.permissions = r#","dial-timeout":15000000"#.to_owned();
+        let mut limiter = setup.start();
+        let mut client = limiter.client();
+        client.write(&request("look", "left", "team", 20_000));
+        withheld.wait_for_connecting();
+        limiter.pause();
+        let (one, comes_up) = withheld.open();
+        comes_up.recv_timeout(LONG).expect("its connection");
+        leave(&client, how);
+        drop(client);
+        // Not to order events: an attempt may begin up to 0.1 s after its client has left.
+        std::thread::sleep(std::time::Duration::from_millis(120));
+        limiter.resume();
+        turns(&limiter);
+        assert_eq!(limiter.client().ask(&request("look", "stays", "team", 20_000)).status(), 200);
+        limiter.terminate();
+        assert!(limiter.wait().success());
+        let sent: Vec<_> = one.requests.try_iter().map(|r| r.1.header("req-id").map(str::to_owned)).collect();
+        assert_eq!(sent, [Some("stays".to_owned())], "{how:?}");
+    }
+}
--- a/scale/src/limiter.rs
+++ b/scale/src/limiter.rs
@@ -104,8 +104,7 @@
     /// # Errors
     /// Where the signal cannot be sent.
     pub async fn signal(&self, name: &str) -> io::Result<()> {
-        let pid = self.pid().to_string();
-        Command::new("kill").args(["-s", name, &pid]).stderr(Stdio::null()).status().await.map(drop)
+        signal(self.pid(), name).await
     }
 
     /// Waits for its end, for so long; nothing where it still runs.
@@ -130,6 +129,14 @@
     }
 }
 
+/// Sends a process a signal by name.
+///
+/// # Errors
+/// Where the signal cannot be sent.
+pub async fn signal(pid: u32, name: &str) -> io::Result<()> {
+    Command::new("kill").args(["-s", name, &pid.to_string()]).stderr(Stdio::null()).status().await.map(drop)
+}
+
 fn spawn(program: &Path, config: &Path) -> io::Result<Child> {
     let mut command = Command::new(program);
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
--- a/scale/src/soak.rs
+++ b/scale/src/soak.rs
@@ -5,7 +5,7 @@
 mod ledger;
 mod server;
 
-use crate::limiter::{Limiter, Limits, Places};
+use crate::limiter::{signal, Limiter, Limits, Places};
 use crate::settings::Deployment;
 use crate::standins::{self, Discovery};
 pub use ledger::Verdict;
@@ -41,6 +41,8 @@
 const KILL_AFTER: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
 /// Time that a restarted limiter has to be ready.
 const READY_MOST: Duration = Duration::from_secs(10);
+/// Time for which a limiter is held up now and then (fleet page), and the time between, in milliseconds.
+const HELD_UP_MS: (std::ops::Range<u64>, std::ops::Range<u64>) = (20..150, 100..500);
 /// Ends of each limiter in a run.
 const ENDS: usize = 2;
 /// Time between two changes of the list.
@@ -174,8 +176,9 @@
             return;
         }
         world.set_open(n, true);
+        let held_up = spawn_local(hold_up(limiter.pid(), SmallRng::seed_from_u64(random.random())));
         sleep(Duration::from_millis(random.random_range(QUIET_MS))).await;
-        let told = signal(&world, n, &limiter, &mut random).await;
+        let told = tell_to_end(&world, n, &limiter, &mut random).await;
         let kill = told + KILL_AFTER.0 + world.deadline.min(KILL_AFTER.1);
         match limiter.ended(kill.saturating_duration_since(Instant::now())).await {
             Some(status) if status.success() => {}
@@ -189,6 +192,7 @@
                 world.ledger.seen.borrow_mut().killed += 1;
             }
         }
+        held_up.abort();
         world.set_open(n, false);
         if let Err(e) = limiter.restart() {
             log::warn!("limiter {n} does not start: {e}");
@@ -198,8 +202,18 @@
     }
 }
 
+/// Stops a process again and again, and lets it go on.
+async fn hold_up(pid: u32, mut random: SmallRng) {
+    loop {
+        sleep(Duration::from_millis(random.random_range(HELD_UP_MS.1))).await;
+        let _ = signal(pid, "STOP").await;
+        sleep(Duration::from_millis(random.random_range(HELD_UP_MS.0))).await;
+        let _ = signal(pid, "CONT").await;
+    }
+}
+
 /// Sends a series of signals; gives the time of the first SIGTERM.
-async fn signal(world: &Rc<World>, n: usize, limiter: &Limiter, random: &mut SmallRng) -> Instant {
+async fn tell_to_end(world: &Rc<World>, n: usize, limiter: &Limiter, random: &mut SmallRng) -> Instant {
     let mut told = None;
     for name in SERIES[random.random_range(0..SERIES.len())] {
         let _ = limiter.signal(name).await;
