Look at what came with a connection before an attempt is written on it

Change: an attempt on a new connection yields once, so that departures, drains and cancels of the same look come first. On a kept connection the attempt is a task of its own that runs behind those already.

--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// A client's request as it goes on to servers.
@@ -85,7 +86,12 @@
             Some(Taken::Kept(conn)) => conn,
             Some(Taken::ToOpen(address, held)) => {
                 match timeout(pools.dial_timeout, Conn::open(address, held)).await {
-                    Ok(Ok(conn)) => conn,
+                    Ok(Ok(conn)) => {
+                        // What came with the connection may speak against this attempt: a process that was held up
+                        // finds both at once. So the others that the same look at the network woke run first.
+                        yield_now().await;
+                        conn
+                    }
                     Ok(Err(e)) if is_own_limit(&e) => {
                         self.log_limiter.warn(format_args!("no connection to server {}: {e}", start.server));
                         return Status::Moot.into();
