--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,8 @@
     /// When discovery last answered.
     discovery_answered: Option<Micros>,
     servers: Vec<Option<Server>>,
+    /// Servers with something out; some more, until the next sweep.
+    busy_servers: BTreeSet<ServerId>,
     customers: BTreeMap<u64, Customer>,
     /// Customers for which something waits, and when idle ones are forgotten.
     holding: BTreeSet<u64>,
@@ -92,6 +94,7 @@
             watch_wait: WATCH_WAIT.0,
             discovery_answered: None,
             servers: Vec::new(),
+            busy_servers: BTreeSet::new(),
             customers: BTreeMap::new(),
             holding: BTreeSet::new(),
             forget: BTreeSet::new(),
@@ -257,6 +260,7 @@
             server.tokens.level -= 1.0;
         }
         server.outs.insert((id, request.attempts.len() as u32), self.now);
+        self.busy_servers.insert(at);
         let (place, fate) = ((server.zone, server.cell), Fate::Out);
         request.attempts.push(Attempt { server: at, place, sent: self.now, fate, cancelled: false });
         request.stage = Stage::Sent;
--- a/src/rules/ejection.rs
+++ b/src/rules/ejection.rs
@@ -14,6 +14,7 @@
     /// Silence with work out is a symptom, before any time-out: a hung or vanished server, or a cut link.
     /// Only while others answer, since everything slow at once is no outlier.
     pub(super) fn check_silence(&mut self) {
+        self.forget_idle_servers();
         let (now, classes) = (self.now, self.latency.len().max(1) as f64);
         let mean = self.latency.iter().sum::<f64>() / classes;
         let quiet = |s: &Server| {
@@ -23,9 +24,11 @@
         };
         let slo = self.set.classes.iter().map(|c| c.slo as f64).sum::<f64>() / classes;
         let live = |s: &Server| s.health == Health::Up && now < s.answered + mean as u64;
-        let live = self.servers.iter().flatten().any(live);
+        let any_quiet = self.busy_servers.iter().filter_map(|at| self.servers[*at].as_ref()).any(quiet);
+        let live = any_quiet && self.servers.iter().flatten().any(live);
         let mut rescued = Vec::new();
-        for server in self.servers.iter_mut().flatten() {
+        for at in &self.busy_servers {
+            let Some(server) = self.servers[*at].as_mut() else { continue };
             if live && !matches!(server.health, Health::Ejected(_)) && quiet(server) {
                 server.eject(now);
                 rescued.extend(server.outs.keys().map(|k| k.0));
@@ -36,6 +39,20 @@
                 server.cut(CUT, now);
             }
         }
+        self.wake_requests(rescued);
+    }
+
+    /// Drops servers with nothing out from those that are looked after: a sweep must not cost more the more
+    /// servers there are.
+    fn forget_idle_servers(&mut self) {
+        let servers = &self.servers;
+        let has_out =
+            |at: &ServerId| servers.get(*at).and_then(Option::as_ref).is_some_and(|s| !s.outs.is_empty());
+        self.busy_servers.retain(has_out);
+    }
+
+    fn wake_requests(&mut self, rescued: Vec<RequestId>) {
+        let now = self.now;
         for id in rescued {
             if let Some(request) = self.requests.get_mut(&id) {
                 set_alarm(&mut self.alarms, request, id, now);
