--- a/limeway/tests/common/limiter.rs
+++ b/limeway/tests/common/limiter.rs
@@ -282,6 +282,13 @@
         panic!("the limiter does not end");
     }
 
+    /// Most memory that it has held, in megabytes.
+    pub fn peak_mb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1024
+    }
+
     /// Whether it still answers.
     pub fn alive(&self) -> bool {
         self.client().is_told_ready()
--- a/limeway/tests/lists.rs
+++ b/limeway/tests/lists.rs
@@ -13,13 +13,6 @@
     list(1, true, &rows)
 }
 
-/// Most memory that a process has held, in megabytes.
-fn peak_mb(limiter: &Limiter) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", limiter.child.id())).expect("it runs");
-    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
-    line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1024
-}
-
 /// Guards against a limiter that never starts before a large fleet, and against memory beyond its limit on the way.
 #[test]
 fn a_list_of_tens_of_thousands_of_servers_is_taken_in_within_the_memory_limit() {
@@ -35,7 +28,7 @@
     news.send(long_list(&one, 49_000).replacen("\"seq\":1", "\"seq\":3", 1)).expect("a watch");
     while !agent.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=3&") {}
     assert_eq!(limiter.client().ask(&request("look", "2", "team", 20_000)).status(), 200);
-    assert!(peak_mb(&limiter) <= 64, "{} MB", peak_mb(&limiter));
+    assert!(limiter.peak_mb() <= 64, "{} MB", limiter.peak_mb());
 }
 
 /// Guards against a silent loop: whoever runs it reads what is wrong, discovery is not asked without end, and what was
--- a/limeway/tests/protocol_forms.rs
+++ b/limeway/tests/protocol_forms.rs
@@ -138,3 +138,24 @@
     limiter.terminate();
     assert!(limiter.wait().success());
 }
+
+#[test]
+fn keys_that_are_not_known_are_skipped_wherever_they_stand() {
+    let (one, two, counter) = (server(ok), server(ok), counter());
+    let strange = |row: String| row.replace("{", "{\"unknown\":{\"a\":[1,null]},");
+    let rows = |server: &Server, host: &str| vec![strange(entry(host, server.address, "SERVING"))];
+    let lists = [(&one, "s-0", 1), (&two, "s-1", 2)]
+        .map(|(server, host, seq)| discovery(strange(list(seq, true, &rows(server, host)))));
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.permissions = r#","unknown":{"b":[true]}"#.to_owned();
+    setup.known = Known::Rows(rows(&one, "s-0"));
+    setup.discovery = Some(lists[0].0.address);
+    let limiter = setup.start();
+    assert_eq!(limiter.client().ask(&request("look", "first", "team", 9000)).status(), 200);
+    let moved = limiter.config.replace(&lists[0].0.address.to_string(), &lists[1].0.address.to_string());
+    let moved = moved.replace("\"settings\":{", "\"unknown\":[7],\"settings\":{\"unknown\":{\"c\":0.5},");
+    limiter.reload(&moved);
+    while !lists[1].0.requests.recv_timeout(LONG).expect("it follows").1.line.contains("from=2") {}
+    assert_eq!(limiter.client().ask(&request("look", "second", "team", 9000)).status(), 200);
+    assert_eq!(two.requests.try_iter().count(), 1, "the server of the second list serves");
+}
