--- a/scale/src/soak.rs
+++ b/scale/src/soak.rs
@@ -91,6 +91,18 @@
     }
 }
 
+/// Draws one of these by its share in percent; what is left of a hundred is the usual one.
+fn draw<T: Copy>(random: &mut SmallRng, shares: &[(T, u32)], usual: T) -> T {
+    let mut roll = random.random_range(0..100);
+    for (value, share) in shares {
+        if roll < *share {
+            return *value;
+        }
+        roll -= share;
+    }
+    usual
+}
+
 /// Settings of a limiter: three classes with this deadline, and quotas that nobody reaches.
 fn settings(deployment: &Deployment, me: u32, deadline: Duration) -> Value {
     let mut settings = deployment.settings(me);
--- a/scale/src/soak/client.rs
+++ b/scale/src/soak/client.rs
@@ -1,7 +1,7 @@
 //! Clients that keep their connections in use, and misbehave by chance.
 
 use super::ledger::{Class, End, ANSWER_SLACK};
-use super::World;
+use super::{draw, World};
 use crate::limiter::{header, read_body};
 use crate::standins::read_head;
 use rand::rngs::SmallRng;
@@ -44,19 +44,6 @@
     (Behaviour::StopsInTheMiddle, 1),
 ];
 
-impl Behaviour {
-    fn draw(random: &mut SmallRng) -> Self {
-        let mut roll = random.random_range(0..100);
-        for (behaviour, share) in FAULTS {
-            if roll < share {
-                return behaviour;
-            }
-            roll -= share;
-        }
-        Behaviour::Asks
-    }
-}
-
 /// Asks over one connection after the other until the run is over.
 pub async fn run(world: Rc<World>, seed: u64) {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -91,7 +78,7 @@
     /// Makes one request; true where the connection goes on.
     async fn ask(&mut self, random: &mut SmallRng) -> bool {
         let class = [Class::Look, Class::Book, Class::Once][random.random_range(0..3)];
-        let behaviour = Behaviour::draw(random);
+        let behaviour = draw(random, &FAULTS, Behaviour::Asks);
         let (ledger, deadline) = (&self.world.ledger, self.world.deadline);
         let first = std::mem::replace(&mut self.first, false);
         let text = request_text(class, random.random_range(0..CUSTOMERS), deadline);
--- a/scale/src/soak/server.rs
+++ b/scale/src/soak/server.rs
@@ -1,5 +1,6 @@
 //! Servers that misbehave by chance.
 
+use super::draw;
 use super::ledger::{Arrival, Ledger};
 use crate::limiter::{header, read_body};
 use crate::standins::{accept, answer, listen, read_head, Seen};
@@ -47,19 +48,6 @@
     (Behaviour::Resets, 3),
 ];
 
-impl Behaviour {
-    fn draw(random: &mut SmallRng) -> Self {
-        let mut roll = random.random_range(0..100);
-        for (behaviour, share) in FAULTS {
-            if roll < share {
-                return behaviour;
-            }
-            roll -= share;
-        }
-        Behaviour::Serves
-    }
-}
-
 /// A server.
 pub struct Server {
     /// Where it listens.
@@ -98,7 +86,10 @@
         let told = header(&head, "req-deadline-ms").and_then(|ms| ms.parse().ok());
         let (behaviour, work) = {
             let mut random = random.borrow_mut();
-            (Behaviour::draw(&mut random), Duration::from_millis(random.random_range(WORK_MS)))
+            (
+                draw(&mut random, &FAULTS, Behaviour::Serves),
+                Duration::from_millis(random.random_range(WORK_MS)),
+            )
         };
         let arrival = Arrival {
             at: Instant::now(),
--- a/scale/tests/tool.rs
+++ b/scale/tests/tool.rs
@@ -12,7 +12,7 @@
 
 #[test]
 fn bad_arguments_get_one_clear_line_and_a_failure() {
-    let bad: [&[&str]; 8] = [
+    let bad: [&[&str]; 10] = [
         &["big"],
         &["hollow", "--limiters", "many"],
         &["hollow", "--limiters", "0"],
@@ -21,6 +21,8 @@
         &["hollow", "--fault", "flood"],
         &["hollow", "--limiters", "3700", "--servers", "49000"],
         &["real", "--program", "/nowhere/limeway", "--servers", "10"],
+        &["soak", "--program", "/nowhere/limeway"],
+        &["soak", "--seeds", "0"],
     ];
     for arguments in bad {
         let output = tool(arguments);
