--- a/limeway/tests/telling.rs
+++ b/limeway/tests/telling.rs
@@ -66,7 +66,7 @@
 #[test]
 fn whatever_discovery_did_before_a_change_is_in_force_within_the_time_after_which_it_counts_as_told() {
     let moods = [Mood::Silent, Mood::Refuses, Mood::Resets, Mood::Rubbish, Mood::Rows];
-    for length in [300, 2_000, 7_000] {
+    for length in [300, 2_000, 7_000, 20_000] {
         let plays: Vec<_> = [true, false]
             .into_iter()
             .flat_map(|ask| moods.map(|mood| (ask, mood)))
