Call the gateway that leases for a customer its lease owner, and take settle apart

home, homes and HOME_* are lease_owner, lease_owners and OWNER_*; letting a request through and spending its units are functions of their own, with the source of the units as a type.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 mod counter_pace;
 mod ejection;
 mod escrow;
-mod homes;
+mod lease_owners;
 mod membership;
 mod retries;
 mod selection;
@@ -56,7 +56,7 @@
     forget: BTreeSet<(Micros, u64)>,
     calls: BTreeMap<u64, Call>,
     counter: Counter,
-    /// Questions to homes by the time they are due, and homes that did not answer.
+    /// Questions to lease owners by the time they are due, and lease owners that did not answer.
     asks: BTreeSet<(Micros, u64)>,
     absent: BTreeMap<u32, (u32, Micros)>,
     requests: BTreeMap<RequestId, Request>,
@@ -155,7 +155,7 @@
         }
         if self.woke != self.now {
             self.check_silence();
-            self.check_homes();
+            self.check_lease_owners();
         }
         while let Some(&(at, id)) = self.alarms.first().filter(|a| a.0 <= self.now) {
             self.alarms.remove(&(at, id));
@@ -185,9 +185,9 @@
     fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
         let Demand { id, class, plan, customer, left, units, spread, first } = demand;
         let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
-        let home = (u64::from(first) + key % u64::from(spread.max(1))) % u64::from(self.set.gateways.max(1));
+        let owner = (u64::from(first) + key % u64::from(spread.max(1))) % u64::from(self.set.gateways.max(1));
         let known = self.know(key, plan, spread);
-        known.home = (known.pooled && home as u32 != me).then_some(home as u32);
+        known.lease_owner = (known.pooled && owner as u32 != me).then_some(owner as u32);
         let since = known.seen;
         known.units = units;
         known.waiting.push_back(Waiting { id, peer: None, units, since });
--- a/src/rules/escrow.rs
+++ b/src/rules/escrow.rs
@@ -1,6 +1,6 @@
 //! Escrow: units leased from the window's count, spent here, forfeit at the window's edge; credit, ceiling.
 
-use super::homes::{HOME_ABSENT, HOME_WAIT};
+use super::lease_owners::{OWNER_ABSENT, OWNER_WAIT};
 use super::*;
 
 /// Difference of two totals, in units, that proves nothing: totals are exact to seven digits.
@@ -11,10 +11,12 @@
 const WINDOW_MOST: Micros = 25_000_000;
 /// Share of the ceiling's burst that a window's budget may take: two windows can be spent back to back.
 const CEILING_WINDOW: f64 = 0.5;
-/// Share of a window's budget that a home leases at once: it spends for all gateways, so little is forfeit.
-const HOME_LEASE: f64 = 0.5;
-/// Even split of a window's budget, in units, below which a home leases: single units are not worth a call.
-const HOME_SPLIT: f64 = 2.0;
+/// Share of a window's budget that a lease owner leases at once: it spends for all gateways, so little is
+/// forfeit.
+const OWNER_LEASE: f64 = 0.5;
+/// Even split of a window's budget, in units, below which a lease owner leases: single units are not worth a
+/// call.
+const OWNER_SPLIT: f64 = 2.0;
 
 impl Gateway {
     /// Lets waiting requests through as far as the escrow and the ceiling allow; leases when it runs dry.
@@ -24,8 +26,10 @@
         let (window, end) = customer.window_at(self.now);
         customer.roll(window);
         customer.fill(plan, self.now);
-        let here =
-            customer.home.filter(|home| self.absent.get(home).is_none_or(|a| a.1 <= self.now)).is_none();
+        let here = customer
+            .lease_owner
+            .filter(|owner| self.absent.get(owner).is_none_or(|a| a.1 <= self.now))
+            .is_none();
         // Credit: where no lease is to be had, the even split of the store is spent without one. Guards
         // against a counter that is down, cut off, slow or too small for the number of gateways. Could hurt
         // where a customer far over its quota comes in through many gateways: each lets one request through.
@@ -35,7 +39,7 @@
         let silent = here && !customer.calling && (customer.lost || self.counter.scarce(self.now, gateways));
         let limited = plan.rate > 0.0;
         let shared = self.counter.shared(self.now, customer.length);
-        let (mut kept, mut refused) = (VecDeque::new(), Vec::new());
+        let (mut kept, mut refused, mut passed) = (VecDeque::new(), Vec::new(), Vec::new());
         while let Some(item) = customer.waiting.pop_front() {
             let (units, remote) = (item.units, item.peer.is_some());
             let held = customer.held(window);
@@ -50,7 +54,7 @@
             let credited = silent && customer.split.level >= units;
             let gone =
                 here && !escrowed && customer.spent == Some(window) || self.now < customer.denied_until;
-            if remote && self.now > item.since + HOME_WAIT {
+            if remote && self.now > item.since + OWNER_WAIT {
                 continue;
             } else if over_open || !granted && (drained || limited && gone) {
                 let lack = (units - customer.store.level).max(0.0) / plan.rate.max(SECOND) / SECOND;
@@ -58,37 +62,22 @@
             } else if !under_ceiling || limited && !granted && (!kept.is_empty() || !(escrowed || credited)) {
                 kept.push_back(item);
             } else {
-                if granted {
-                    customer.granted -= units;
-                } else if limited && escrowed {
-                    customer.escrow.insert(window, held - units);
-                } else if limited {
-                    customer.owed += units;
-                }
-                customer.used += units;
-                if !granted {
-                    let least = if leased { level.min(0.0) } else { f64::MIN };
-                    customer.ceiling.level = (level - units).max(least);
-                }
-                customer.store.level -= units;
-                customer.split.level = (customer.split.level - units).max(0.0);
+                let source = match (granted, limited, escrowed) {
+                    (true, ..) => Source::Granted,
+                    (false, true, true) => Source::Escrow,
+                    (false, true, false) => Source::Credit,
+                    (false, false, _) => Source::Unlimited,
+                };
+                customer.spend(units, source, leased, window);
                 if let Some(peer) = item.peer {
                     let message = Message::Grant { customer: key, units: units as f32 };
                     out.push(Action::Tell { peer, data: message.encode() });
                     continue;
                 }
-                let Some(request) = self.requests.get_mut(&item.id) else { continue };
-                customer.open += 1.0;
-                request.window = if escrowed && !granted { window } else { 0 };
-                request.passed = window;
-                request.stage = Stage::Ready;
-                // The rate of what should go on, not of what does: where all servers count as cold, their
-                // shares would shrink with the sends, and the sends with the shares.
-                self.rate.note(self.now);
-                let patience = request.arrived + self.set.classes[request.class].slo;
-                let alarm = patience.saturating_sub(self.latency[request.class] as u64);
-                set_alarm(&mut self.alarms, request, item.id, alarm);
-                self.ready.insert(request.rank);
+                if self.requests.contains_key(&item.id) {
+                    customer.open += 1.0;
+                    passed.push((item.id, if source == Source::Escrow { window } else { 0 }));
+                }
             }
         }
         customer.waiting = kept;
@@ -96,6 +85,10 @@
         if customer.waiting.is_empty() {
             self.holding.remove(&key);
         }
+        for (id, escrow_of) in passed {
+            self.let_through(id, window, escrow_of);
+        }
+        let Some(customer) = self.customers.get_mut(&key) else { return };
         if here && wanted > customer.held(window) && !customer.calling && limited {
             self.lease(key, out);
         } else if !here && wanted > customer.granted && customer.asking.is_none() && limited {
@@ -106,12 +99,28 @@
                 self.refuse(item.id, wait, out);
                 continue;
             };
-            let wait = wait.min(HOME_ABSENT) as u32;
+            let wait = wait.min(OWNER_ABSENT) as u32;
             out.push(Action::Tell { peer, data: Message::Deny { customer: key, wait }.encode() });
         }
     }
 
-    /// One add to the customer's window count: what waits here, or a block where this is its home.
+    /// A request has its units, of the escrow of a window or of none: it waits for a server from now on.
+    fn let_through(&mut self, id: RequestId, window: u64, escrow_of: u64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.window = escrow_of;
+        request.passed = window;
+        request.stage = Stage::Ready;
+        // The rate of what should go on, not of what does: where all servers count as cold, their shares would
+        // shrink with the sends, and the sends with the shares.
+        self.rate.note(self.now);
+        let patience = request.arrived + self.set.classes[request.class].slo;
+        let alarm = patience.saturating_sub(self.latency[request.class] as u64);
+        set_alarm(&mut self.alarms, request, id, alarm);
+        self.ready.insert(request.rank);
+    }
+
+    /// One add to the customer's window count: what waits here, or a block where this gateway owns its
+    /// leases.
     pub(super) fn lease(&mut self, key: u64, out: &mut Vec<Action>) {
         if !self.counter.ready(self.now) {
             return;
@@ -119,11 +128,11 @@
         let Some(customer) = self.customers.get_mut(&key) else { return };
         let (window, end) = customer.window_at(self.now);
         let needed = customer.wanted();
-        let at_home = customer.pooled && customer.home.is_none();
+        let owns_leases = customer.pooled && customer.lease_owner.is_none();
         // As the source has it, a lease grows with the use in the last window, up to the even split; but only
         // where calls are scarce: what is leased and not spent is forfeit.
-        let block = if at_home {
-            customer.budget * HOME_LEASE
+        let block = if owns_leases {
+            customer.budget * OWNER_LEASE
         } else if self.counter.scarce(self.now, f64::from(self.set.gateways.max(1))) {
             (customer.past - customer.used).clamp(0.0, customer.budget / customer.spread).floor()
         } else {
@@ -218,13 +227,46 @@
             }
         });
         known.spread = f64::from(spread.max(1));
-        known.pooled = peers && p.ceiling_rate <= 0.0 && known.budget / known.spread < HOME_SPLIT;
+        known.pooled = peers && p.ceiling_rate <= 0.0 && known.budget / known.spread < OWNER_SPLIT;
         known.seen = now;
         known
     }
 }
 
+/// Where the units of a request come from.
+#[derive(Clone, Copy, PartialEq)]
+enum Source {
+    /// The customer's lease owner granted them.
+    Granted,
+    /// The escrow of the present window.
+    Escrow,
+    /// The even split of the store, without a lease: owed to the count.
+    Credit,
+    /// The plan has no quota on units.
+    Unlimited,
+}
+
 impl Customer {
+    /// Spends units; where they are leased and the counter is shared, the ceiling's even split does not bind.
+    fn spend(&mut self, units: f64, source: Source, leased: bool, window: u64) {
+        match source {
+            Source::Granted => self.granted -= units,
+            Source::Escrow => {
+                let left = self.held(window) - units;
+                self.escrow.insert(window, left);
+            }
+            Source::Credit => self.owed += units,
+            Source::Unlimited => {}
+        }
+        self.used += units;
+        if source != Source::Granted {
+            let least = if leased { self.ceiling.level.min(0.0) } else { f64::MIN };
+            self.ceiling.level = (self.ceiling.level - units).max(least);
+        }
+        self.store.level -= units;
+        self.split.level = (self.split.level - units).max(0.0);
+    }
+
     /// Moves on to a window; escrow of earlier ones is forfeit.
     pub(super) fn roll(&mut self, window: u64) {
         if window > self.window {
@@ -243,8 +285,8 @@
     /// gateways, so leased units need no share: two windows' budgets are within the ceiling wherever they are
     /// spent, for as long as the counter is seen to add up what all lease.
     fn fill(&mut self, plan: &Plan, now: Micros) {
-        // A home spends for all gateways: its split of the store is the whole.
-        let split = if self.pooled && self.home.is_none() { 1.0 } else { 1.0 / self.spread };
+        // A lease owner spends for all gateways: its split of the store is the whole.
+        let split = if self.pooled && self.lease_owner.is_none() { 1.0 } else { 1.0 / self.spread };
         self.store.fill(plan.rate, plan.burst.max(self.units), now);
         self.split.fill(plan.rate * split, (plan.burst * split).max(self.units), now);
         self.ceiling.fill(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread, now);
--- a/src/rules/homes.rs
+++ b/src/rules/lease_owners.rs
@@ -1,41 +1,43 @@
-//! Homes: where gateways may talk, one gateway of a customer leases for all of them, and the others ask it.
+//! Lease owners: where gateways may talk, one gateway of a customer leases for all of them, and the others
+//! ask it.
 
 use super::*;
 
-/// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
-pub(super) const HOME_WAIT: Micros = 150_000;
-/// Time for which a home that did not answer is not asked, in microseconds.
-pub(super) const HOME_ABSENT: Micros = 1_000_000;
-/// Questions in a row without an answer after which a home is absent: one message in ten may be lost.
-const HOME_MISSES: u32 = 2;
+/// Time for which an answer of a customer's lease owner is awaited, in microseconds: there and back, and a
+/// call.
+pub(super) const OWNER_WAIT: Micros = 150_000;
+/// Time for which a lease owner that did not answer is not asked, in microseconds.
+pub(super) const OWNER_ABSENT: Micros = 1_000_000;
+/// Questions in a row without an answer after which a lease owner is absent: one message in ten may be lost.
+const OWNER_MISSES: u32 = 2;
 
 impl Gateway {
-    /// A regional escrow in the sense of the source: where gateways talk, one door of a customer, its home,
-    /// leases for all of them and leases on. A home that does not answer is passed over for a while.
+    /// A regional escrow in the sense of the source: where gateways talk, one gateway of a customer, its
+    /// lease owner, leases for all of them and leases on. One that does not answer is passed over for a while.
     pub(super) fn ask(&mut self, key: u64, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(&key) else { return };
-        let Some(peer) = customer.home else { return };
+        let Some(peer) = customer.lease_owner else { return };
         let (plan, spread) = (customer.plan as u8, customer.spread as u16);
         let units = (customer.wanted() - customer.granted) as f32;
-        customer.asking = Some(self.now + HOME_WAIT);
-        self.asks.insert((self.now + HOME_WAIT, key));
+        customer.asking = Some(self.now + OWNER_WAIT);
+        self.asks.insert((self.now + OWNER_WAIT, key));
         let message = Message::Ask { customer: key, plan, spread, units };
         out.push(Action::Tell { peer, data: message.encode() });
     }
 
     /// Questions that are due without an answer.
-    pub(super) fn check_homes(&mut self) {
+    pub(super) fn check_lease_owners(&mut self) {
         while let Some(&(at, key)) = self.asks.first().filter(|a| a.0 <= self.now) {
             self.asks.remove(&(at, key));
             let Some(customer) = self.customers.get_mut(&key).filter(|c| c.asking == Some(at)) else {
                 continue;
             };
             customer.asking = None;
-            let Some(home) = customer.home else { continue };
-            let missed = self.absent.entry(home).or_insert((0, 0));
+            let Some(owner) = customer.lease_owner else { continue };
+            let missed = self.absent.entry(owner).or_insert((0, 0));
             missed.0 += 1;
-            if missed.0 >= HOME_MISSES {
-                missed.1 = self.now + HOME_ABSENT;
+            if missed.0 >= OWNER_MISSES {
+                missed.1 = self.now + OWNER_ABSENT;
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,7 +63,7 @@
     pub spread: f64,
     /// One of them leases for all; which one, unless it is this gateway.
     pub pooled: bool,
-    pub home: Option<u32>,
+    pub lease_owner: Option<u32>,
     /// Length of its windows, their shift, and the budget of one.
     pub length: Micros,
     pub phase: Micros,
@@ -90,10 +90,10 @@
     pub lost: bool,
     pub seen: Micros,
     pub waiting: VecDeque<Waiting>,
-    /// A lease call is out; until when an answer of its home is awaited.
+    /// A lease call is out; until when an answer of its lease owner is awaited.
     pub calling: bool,
     pub asking: Option<Micros>,
-    /// Units that its home has granted for this window, and until when it has none.
+    /// Units that its lease owner has granted for this window, and until when it has none.
     pub granted: f64,
     pub denied_until: Micros,
     pub ceiling: Bucket,
@@ -227,7 +227,7 @@
 /// What one gateway tells another.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Message {
-    /// Asks the customer's home for units.
+    /// Asks the customer's lease owner for units.
     Ask { customer: u64, plan: u8, spread: u16, units: f32 },
     /// Units leased on to the gateway that asked.
     Grant { customer: u64, units: f32 },
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn a_home_leases_for_all_gateways_and_keeps_their_sum_inside_the_quota() {
+fn a_lease_owner_leases_for_all_gateways_and_keeps_their_sum_inside_the_quota() {
     let mut hosts = fleet(40);
     play(&mut hosts, 1_000, true, |step, hosts| {
         // Ten requests a second, over twice the quota, each through another door.
@@ -68,12 +68,12 @@
     let callers = hosts.iter().filter(|h| !h.calls.is_empty()).count();
     // A burst of eight, and four a second for ten seconds.
     assert!((35..=52).contains(&sent(&hosts)), "{} sent", sent(&hosts));
-    assert_eq!(callers, 1, "only the home calls the counter");
+    assert_eq!(callers, 1, "only the lease owner calls the counter");
     assert!(calls <= 25, "{calls} calls for a hundred requests");
 }
 
 #[test]
-fn a_home_that_does_not_answer_is_passed_over() {
+fn a_lease_owner_that_does_not_answer_is_passed_over() {
     let mut hosts = fleet(40);
     play(&mut hosts, 300, false, |step, hosts| {
         if step % 30 == 0 {
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn one_lost_message_does_not_make_a_home_absent() {
+fn one_lost_message_does_not_make_a_lease_owner_absent() {
     let mut host = Host::seeded(talking(0, 40), 4, 5);
     let id = (0..40).find(|id| {
         ask_of(&mut host, *id, 40);
@@ -309,7 +309,7 @@
 }
 
 #[test]
-fn with_homes_out_of_reach_and_the_counter_silent_credit_is_the_even_split() {
+fn with_lease_owners_out_of_reach_and_the_counter_silent_credit_is_the_even_split() {
     let mut hosts = fleet(40);
     for host in &mut hosts {
         host.mode = CounterMode::Silent;
