--- a/src/rules/escrow.rs
+++ b/src/rules/escrow.rs
@@ -110,8 +110,8 @@
         request.window = escrow_of;
         request.passed = window;
         request.stage = Stage::Ready;
-        // The rate of what should go on, not of what does: where all servers count as cold, their shares would
-        // shrink with the sends, and the sends with the shares.
+        // The rate of what should go on, not of what does: where all servers count as cold, their shares
+        // would shrink with the sends, and the sends with the shares.
         self.rate.note(self.now);
         let patience = request.arrived + self.set.classes[request.class].slo;
         let alarm = patience.saturating_sub(self.latency[request.class] as u64);
--- a/src/rules/lease_owners.rs
+++ b/src/rules/lease_owners.rs
@@ -13,7 +13,8 @@
 
 impl Gateway {
     /// A regional escrow in the sense of the source: where gateways talk, one gateway of a customer, its
-    /// lease owner, leases for all of them and leases on. One that does not answer is passed over for a while.
+    /// lease owner, leases for all of them and leases on. One that does not answer is passed over for a
+    /// while.
     pub(super) fn ask(&mut self, key: u64, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(&key) else { return };
         let Some(peer) = customer.lease_owner else { return };
