--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -1,40 +1,31 @@
 //! limeway: a quota limiter on real sockets, round the decisions of `pondgw`. Start, signals, exit code.
 #![forbid(unsafe_code)]
 
-mod attempts;
-mod catalog;
-mod client_connection;
-mod client_table;
 mod clients;
 mod clock;
 mod config;
-mod connection;
 mod core;
 mod counter;
-mod descriptors;
 mod discovery;
-mod http;
 mod log_limiter;
-mod loop_lag;
-mod network_event;
+mod network;
 mod peers;
-mod request;
-mod servers;
+mod signals;
 mod start_error;
-mod stream_io;
-mod zones;
+mod upstream;
 
 use crate::core::Core;
-use client_table::{ClientTable, Closing};
+use clients::client_table::{ClientTable, Closing};
+use clients::listener;
 use config::Config;
-use descriptors::Descriptors;
-use loop_lag::LoopLag;
+use network::descriptors::Descriptors;
+use network::loop_lag::LoopLag;
+use signals::{Request, Signals};
 use start_error::StartError;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -79,17 +70,11 @@
     ExitCode::FAILURE
 }
 
-fn listen_for(kind: SignalKind) -> Result<Signal, StartError> {
-    signal(kind).map_err(StartError::Signals)
-}
-
 async fn serve(lag: Arc<LoopLag>) -> Result<(), StartError> {
     // Before all else: a signal that comes early must not find its default action, which ends the process.
-    let mut terminate = listen_for(SignalKind::terminate())?;
-    let mut interrupt = listen_for(SignalKind::interrupt())?;
-    let mut hangup = listen_for(SignalKind::hangup())?;
+    let signals = Signals::listen().map_err(StartError::Signals)?;
     let config = Config::load(env)?;
-    let listener = clients::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
+    let listener = listener::listen(config.listen).map_err(|e| StartError::Listen(config.listen, e))?;
     let peers = match &config.peers {
         Some((address, all)) => {
             let bound = peers::Peers::bind(*address, all.clone()).await;
@@ -103,7 +88,7 @@
     let core = Core::new(config, peers, descriptors, lag);
 
     spawn_local(core.clone().run_timers());
-    spawn_local(discovery::run(core.clone()));
+    spawn_local(discovery::follower::run(core.clone()));
     if let Some(peers) = &core.peers {
         let me = core.config.setup.settings.me as usize;
         spawn_local(peers::run(peers.clone(), me, core.sink.clone()));
@@ -111,25 +96,17 @@
     spawn_local(housekeeping(core.clone()));
     spawn_local(core.lag.clone().watch());
     let stop_listening = Rc::new(Notify::new());
-    let accepting = spawn_local(clients::run(core.clone(), table.clone(), listener, stop_listening.clone()));
+    let accepting = spawn_local(listener::run(core.clone(), table.clone(), listener, stop_listening.clone()));
 
-    // Also while it ends, which may take as long as the longest deadline.
-    let reloading = core.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reload(&reloading);
-        }
-    });
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let end_requested = Rc::new(Notify::new());
+    spawn_local(heed(signals, core.clone(), end_requested.clone()));
+    end_requested.notified().await;
     log::info!("ending: {} requests are open", core.unanswered());
     core.end();
-    let told = Instant::now();
+    let ending_since = Instant::now();
     sleep(CLOSE_IDLE).await;
     table.close_idle(Closing::Used);
-    while told.elapsed() < LISTEN_ON.1 && table.quiet_for() < LISTEN_ON.0 {
+    while ending_since.elapsed() < LISTEN_ON.1 && table.quiet_for() < LISTEN_ON.0 {
         sleep(Duration::from_millis(10)).await;
     }
     // What waits to be accepted was connected before: it is taken first.
@@ -149,6 +126,16 @@
     Ok(())
 }
 
+/// Heeds signals for ever: also while the process ends, which may take as long as the longest deadline.
+async fn heed(mut signals: Signals, core: Rc<Core>, end_requested: Rc<Notify>) {
+    loop {
+        match signals.next().await {
+            Request::Reload => reload(&core),
+            Request::End => end_requested.notify_one(),
+        }
+    }
+}
+
 /// Takes in the file anew; one that cannot be used changes nothing.
 fn reload(core: &Core) {
     match core.places.get().reread(env) {
