Advise clients that found no server to wait a tenth of their objective

The longest wait, advised since, let those that follow it miss their objective: net-check has 0.6 s, the wait is 0.5 s.

Change: finish() advises a tenth of the objective of the class, from the settings.

--- a/src/rules/retries.rs
+++ b/src/rules/retries.rs
@@ -8,6 +8,8 @@
 /// (fleet page).
 const HELD_UP: Micros = 150_000;
 
+/// Share of its objective that a client is advised to wait which found no server.
+const RETRY_AFTER_SHARE: f64 = 0.1;
 /// Shortest wait that a client is advised, in microseconds: HTTP gives it in milliseconds.
 const RETRY_AFTER_LEAST: Micros = 1_000;
 
@@ -114,8 +116,10 @@
     pub(super) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         if request.attempts.iter().all(|a| a.fate == Fate::NeverRan) {
-            // For want of a server or of time: what would help is less load, so the longest wait is advised.
-            return self.refuse(id, self.set.permissions.max_retry_after, out);
+            // For want of a server or of time. Less load would help, but who comes back must still meet its
+            // objective.
+            let wait = self.set.classes[request.class].slo as f64 * RETRY_AFTER_SHARE;
+            return self.refuse(id, wait as Micros, out);
         }
         out.push(Action::Fail { id });
         self.close(id, out);
