review: clients that stop mid-request take a limiter over its memory limit

Cause: client connections are counted, but not what they hold; the memory limit bounds only the lists of discovery.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case: `harness CASE ROOT FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 //! not run. With TROUBLE=0 in the environment the disruption is left out.
 
+mod memory;
 mod pipelining;
 mod support;
 
@@ -24,6 +25,7 @@
     let (root, folder) = (PathBuf::from(&args[2]), PathBuf::from(&args[3]));
     let result = support::Record::create(&folder.join("record.txt")).and_then(|record| match args[1].as_str() {
         "pipelining" => pipelining::run(&root, record, trouble),
+        "memory" => memory::run(&root, record, trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     });
     match result {
