review: a server's answer with too small a length is served cut off

Cause: bytes behind the announced length end the connection, but the answer before them counts as good. Change: case 3; the program is unchanged.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 
 mod memory;
 mod pipelining;
+mod short_length;
 mod support;
 
 use std::path::PathBuf;
@@ -26,6 +27,7 @@
     let result = support::Record::create(&folder.join("record.txt")).and_then(|record| match args[1].as_str() {
         "pipelining" => pipelining::run(&root, record, trouble),
         "memory" => memory::run(&root, record, trouble),
+        "short_length" => short_length::run(&root, record, trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     });
     match result {
--- a/review/harness/support.rs
+++ b/review/harness/support.rs
@@ -187,28 +187,49 @@
     pub message: Message,
 }
 
-/// Starts servers that work for a time on each request and answer with its id. Repeats of a key are dropped for 4 s:
-/// they are answered, and not run again.
+/// Writes the answer to a request; false if the connection has to end.
+pub type Answer = dyn Fn(usize, &Message, &mut TcpStream) -> bool + Send + Sync;
+
+/// Writes an answer with a load report.
+pub fn write_answer(stream: &mut TcpStream, length: usize, body: &str) -> bool {
+    let head = "HTTP/1.1 200 OK\r\nSrv-Load: qps=5,inflight=1,util=0.30\r\n";
+    stream.write_all(format!("{head}Content-Length: {length}\r\n\r\n{body}").as_bytes()).is_ok()
+}
+
+/// Starts servers that work for a time on each request and answer with its id.
 pub fn start_servers(
     count: usize,
     work: Duration,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 ) -> io::Result<Vec<SocketAddr>> {
+    start_servers_that(count, work, runs, record, |_, message, stream| {
+        let id = message.header("req-id").unwrap_or("-");
+        write_answer(stream, id.len(), id)
+    })
+}
+
+/// Starts servers that work for a time on each request and answer it in the given way.
+pub fn start_servers_that(
+    count: usize,
+    work: Duration,
+    runs: Arc<Mutex<Vec<Run>>>,
+    record: Record,
+    answer: impl Fn(usize, &Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> io::Result<Vec<SocketAddr>> {
+    let answer: Arc<Answer> = Arc::new(answer);
     (0..count)
         .map(|server| {
-            let (runs, record) = (runs.clone(), record.clone());
+            let (runs, record, answer) = (runs.clone(), record.clone(), answer.clone());
             listen(move |mut stream| {
                 let Ok(clone) = stream.try_clone() else { return };
                 let mut reader = BufReader::new(clone);
                 while let Some(message) = read_message(&mut reader) {
                     let id = message.header("req-id").unwrap_or("-").to_owned();
                     record.line(&format!("server {server} runs {id}: {}", message.start_line));
-                    runs.lock().unwrap().push(Run { at: Instant::now(), server, message });
+                    runs.lock().unwrap().push(Run { at: Instant::now(), server, message: message.clone() });
                     thread::sleep(work);
-                    let head = "HTTP/1.1 200 OK\r\nSrv-Load: qps=5,inflight=1,util=0.30\r\n";
-                    let response = format!("{head}Content-Length: {}\r\n\r\n{id}", id.len());
-                    if stream.write_all(response.as_bytes()).is_err() {
+                    if !answer(server, &message, &mut stream) {
                         return;
                     }
                 }
