--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,7 +3,7 @@
 
 mod memory;
 mod pipelining;
-mod short_length;
+mod second_answer;
 mod support;
 
 use std::path::PathBuf;
@@ -20,6 +20,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(Duration::from_secs(110));
         eprintln!("the case took too long");
+        support::kill_started();
         exit(2);
     });
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -27,7 +28,7 @@
     let result = support::Record::create(&folder.join("record.txt")).and_then(|record| match args[1].as_str() {
         "pipelining" => pipelining::run(&root, record, trouble),
         "memory" => memory::run(&root, record, trouble),
-        "short_length" => short_length::run(&root, record, trouble),
+        "second_answer" => second_answer::run(&root, record, trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     });
     match result {
--- a/review/harness/pipelining.rs
+++ b/review/harness/pipelining.rs
@@ -1,4 +1,4 @@
-//! A client that has two hundred requests on its way at once on one connection. Each request that a server gets has to
+//! A client that has two hundred requests on their way at once on one connection. Each request that a server gets has to
 //! be one that the client sent, unchanged.
 
 use crate::support::*;
