Never discard a client's input: pipelined requests were joined across a gap

Change: clients/input.rs owns all reads of a connection. Ruled out: sealing the buffer behind the gap (requests read and then closed with no answer are lost); giving up a client above 1 MB (the same); a larger kernel buffer (its size is the system's). Unit: a_client_that_writes_without_end_is_given_up demanded that such a client be cut off, which loses what it sent; its place takes one that demands the bound on the buffer after each read, no gap, and no false departure. The other three moved to unit/input.rs with the code, one size more each.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -2,5 +2,6 @@
 
 pub mod client_connection;
 pub mod client_table;
+pub mod input;
 pub mod listener;
 pub mod request;
--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -1,15 +1,15 @@
 //! A client's connection: requests are read one after the other, and each gets exactly one response.
 
 use crate::clients::client_table::{ClientTable, CloseIdle, EvictionSlot, Phase};
+use crate::clients::input::{ClientInput, MAX_IDLE_BUFFER};
 use crate::clients::request::{self, ClientMessage, Rejection};
 use crate::core::{ClientResponse, Core};
 use crate::network::connection;
 use crate::network::http::{self, BodyReader, Head};
-use crate::network::stream_io::{read_some, retry_interrupted, write_all};
+use crate::network::stream_io::{read_some, write_all};
 use crate::upstream::attempts::ForwardedRequest;
 use bytes::BytesMut;
 use pondgw::{ClientRequest, Micros};
-use std::io::{self, ErrorKind, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -36,21 +36,13 @@
 const INVALID_REQUEST_PAUSE: Duration = Duration::from_millis(5);
 /// Upper bound on that pause.
 const MAX_INVALID_REQUEST_PAUSE: Duration = Duration::from_millis(200);
-/// A client that sends more than this many bytes beyond what the buffer holds before it has its response is treated as
-/// gone: a client that waits for its response sends no more, and reading on without end would keep the thread from
-/// others.
-const MAX_DISCARDED: usize = 1024 * 1024;
-/// Largest buffer that an idle connection keeps, in bytes.
-const MAX_IDLE_BUFFER: usize = 4 * 1024;
-/// Largest request, in bytes; no more than this is buffered while a request is open.
-const MAX_REQUEST: usize = http::MAX_HEAD + http::MAX_REQUEST_BODY;
 /// Retry-After of a 503, in microseconds: by then, connections have closed.
 const RETRY_AFTER_OVERLOAD: Micros = 1_000_000;
 
 /// A client's connection.
 pub struct ClientConnection {
     stream: TcpStream,
-    buffer: BytesMut,
+    input: ClientInput,
     out: Vec<u8>,
     opened_at: Instant,
     /// No request has been received completely yet.
@@ -61,15 +53,8 @@
     over_limit: bool,
     /// If evicted: the slot by which it was evicted, kept so that the connection counts as evicted until it is closed.
     evicted: Option<EvictionSlot>,
-    /// When bytes were last read.
-    last_read: Instant,
-    /// Upper bound on the time that those bytes had waited to be read.
-    read_delay: Duration,
     /// Invalid requests in a row.
     invalid_requests: u32,
-    /// Bytes discarded because the buffer was full. As they are missing, nothing more can be read once the buffer is
-    /// used up.
-    discarded: usize,
 }
 
 /// A request as received: its parsed head, the bytes of the head, and the body.
@@ -78,27 +63,23 @@
 impl ClientConnection {
     /// Takes over a connection that has just been accepted, after it had waited for at most `waited`.
     pub fn new(stream: TcpStream, waited: Duration, over_limit: bool) -> Self {
-        let now = Instant::now();
         ClientConnection {
             stream,
-            buffer: BytesMut::new(),
+            input: ClientInput::new(waited),
             out: Vec::new(),
-            opened_at: now,
+            opened_at: Instant::now(),
             awaits_first_request: true,
             reused: false,
             over_limit,
             evicted: None,
-            last_read: now,
-            read_delay: waited,
             invalid_requests: 0,
-            discarded: 0,
         }
     }
 
     /// Serves the connection until it is closed.
     pub async fn serve(mut self, core: &Rc<Core>, table: &Rc<ClientTable>) {
         let _ = self.stream.set_nodelay(true);
-        self.read_available();
+        self.input.read_first(&self.stream);
         loop {
             let (head, bytes, body) = match self.read_request(core, table).await {
                 Ok(Some(message)) => message,
@@ -160,7 +141,7 @@
         core: &Core,
         table: &Rc<ClientTable>,
     ) -> Result<Option<ReceivedRequest>, Rejection> {
-        if self.buffer.is_empty() && (self.discarded > 0 || !self.wait_for_request(core, table).await) {
+        if self.input.buffer.is_empty() && !self.wait_for_request(core, table).await {
             return Ok(None);
         }
         let limit = if table.idle_to_close() == CloseIdle::All {
@@ -206,7 +187,9 @@
             let closing = table.idle_to_close() >= closed_from;
             tokio::select! {
                 biased;
-                read = read_some(&mut self.stream, &mut self.buffer) => return self.on_first_read(core, read),
+                received = self.input.read(&mut self.stream, || core.lag.max_wait()) => {
+                    return self.on_first_read(received);
+                }
                 () = table.idle_to_close_changed.notified(), if !closing => continue,
                 () = slot.evicted() => {}
                 () = &mut idle_timeout => {}
@@ -217,47 +200,36 @@
                 self.evicted = slot.is_evicted().then_some(slot);
                 return false;
             }
-            let read = read_some(&mut self.stream, &mut self.buffer).await;
-            return self.on_first_read(core, read);
+            let received = self.read_more(core).await;
+            return self.on_first_read(received);
         }
     }
 
     /// Frees buffers that have grown; for an idle connection.
     fn release_buffers(&mut self) {
-        if self.buffer.capacity() > MAX_IDLE_BUFFER {
-            self.buffer = BytesMut::new();
-        }
+        self.input.shrink();
         if self.out.capacity() > MAX_IDLE_BUFFER {
             self.out = Vec::new();
         }
     }
 
-    /// Records the first read of a request; false at the end of the input.
-    fn on_first_read(&mut self, core: &Core, read: io::Result<usize>) -> bool {
+    /// Records the first read of a request; `received` is false at the end of the input.
+    fn on_first_read(&mut self, received: bool) -> bool {
         self.reused = !self.awaits_first_request;
-        self.on_read(core, read)
-    }
-
-    /// Records the time of a read; false at the end of the input or after an error.
-    fn on_read(&mut self, core: &Core, read: io::Result<usize>) -> bool {
-        let received = matches!(read, Ok(1..));
-        if received {
-            (self.last_read, self.read_delay) = (Instant::now(), core.lag.max_wait());
-        }
         received
     }
 
     async fn read_message(&mut self, core: &Core) -> Result<Option<ReceivedRequest>, Rejection> {
         let head = loop {
-            match http::parse_request_head(&self.buffer)? {
+            match http::parse_request_head(&self.input.buffer)? {
                 Some(head) => break head,
                 None if !self.read_more(core).await => return Ok(None),
                 None => {}
             }
         };
-        let bytes = self.buffer.split_to(head.len);
+        let bytes = self.input.buffer.split_to(head.len);
         let mut body = BodyReader::new(head.framing, http::MAX_REQUEST_BODY);
-        while !body.consume(&mut self.buffer)? {
+        while !body.consume(&mut self.input.buffer)? {
             if !self.read_more(core).await {
                 return Ok(None);
             }
@@ -270,53 +242,11 @@
     /// another request behind this one counts as accepted.
     fn closes_after_response(&self, core: &Core, table: &ClientTable, last: bool) -> bool {
         let unwanted = core.draining.get() || (table.is_above_keep_alive() && !self.reused);
-        last || unwanted && self.buffer.is_empty() && connection::nothing_pending(&self.stream)
+        last || unwanted && self.input.buffer.is_empty() && connection::nothing_pending(&self.stream)
     }
 
     async fn read_more(&mut self, core: &Core) -> bool {
-        if self.discarded > 0 {
-            return false;
-        }
-        let read = read_some(&mut self.stream, &mut self.buffer).await;
-        self.on_read(core, read)
-    }
-
-    /// Reads what has already arrived, up to the size of a request: it has waited for as long as the connection has.
-    /// An end of the input is left for a later read to report.
-    fn read_available(&mut self) {
-        while self.buffer.len() < MAX_REQUEST && matches!(self.read_nonblocking(self.read_delay), Ok(1..)) {}
-    }
-
-    /// Reads all input that has arrived; it has waited for at most `waited`. False if the client has left or has sent
-    /// too much ahead. Asks the kernel directly: the runtime's view of the socket may be one turn of its event loop
-    /// behind, and the end of input of a client that wrote and left shows only after all that it wrote.
-    fn drain_socket(&mut self, waited: Duration) -> bool {
-        loop {
-            match self.read_nonblocking(waited) {
-                Ok(0) => return false,
-                Ok(_) if !self.discard_excess() => return false,
-                Ok(_) => {}
-                Err(e) => return e.kind() == ErrorKind::WouldBlock,
-            }
-        }
-    }
-
-    /// Reads some input without waiting and without the runtime.
-    fn read_nonblocking(&mut self, waited: Duration) -> io::Result<usize> {
-        let mut part = [0; MAX_IDLE_BUFFER];
-        let read = retry_interrupted(|| (&*socket2::SockRef::from(&self.stream)).read(&mut part))?;
-        if read > 0 {
-            (self.last_read, self.read_delay) = (Instant::now(), waited);
-            self.buffer.extend_from_slice(&part[..read]);
-        }
-        Ok(read)
-    }
-
-    /// Keeps as much of the input as one request can need, and discards and counts the rest. False if that is too much.
-    fn discard_excess(&mut self) -> bool {
-        self.discarded += self.buffer.len().saturating_sub(MAX_REQUEST);
-        self.buffer.truncate(MAX_REQUEST);
-        self.discarded <= MAX_DISCARDED
+        self.input.read(&mut self.stream, || core.lag.max_wait()).await
     }
 
     /// Submits a request to the gateway and writes the response. True if the connection stays open.
@@ -329,9 +259,9 @@
         last: bool,
     ) -> bool {
         // The client's deadline counts from when it sent the request.
-        let waited = (self.last_read.elapsed() + self.read_delay).as_micros() as Micros;
+        let waited = self.input.time_since_arrival().as_micros() as Micros;
         // While the request waited to be accepted, or behind others on its connection, the client may have left.
-        if !self.drain_socket(core.lag.max_wait()) {
+        if self.input.client_has_left(&self.stream, core.lag.max_wait()).await {
             return self.write_rejection(core, &Rejection::CLIENT_LEFT, true).await;
         }
         request.time_left = request.time_left.saturating_sub(waited);
@@ -344,19 +274,13 @@
             let close = self.closes_after_response(core, table, last);
             return self.write_rejection(core, &Rejection::ID_IN_USE, close).await;
         };
-        let response = loop {
-            tokio::select! {
-                biased;
-                response = &mut response => break response.unwrap_or(ClientResponse::Failed),
-                // The client may send its next request early; the end of its input means that it has left. Input is
-                // read even if the buffer is full, as that end could not be seen otherwise.
-                read = read_some(&mut self.stream, &mut self.buffer) => {
-                    let left = !self.on_read(core, read);
-                    if left || !self.discard_excess() {
-                        let response = core.client_left(id);
-                        return self.write_client_response(core, response, true).await;
-                    }
-                },
+        let response = tokio::select! {
+            biased;
+            response = &mut response => response.unwrap_or(ClientResponse::Failed),
+            // The client may send its next request early; the end of its input means that it has left.
+            () = self.input.read_until_client_leaves(&mut self.stream, || core.lag.max_wait()) => {
+                let response = core.client_left(id);
+                return self.write_client_response(core, response, true).await;
             }
         };
         let close = self.closes_after_response(core, table, last);
@@ -396,8 +320,8 @@
         let discard = async {
             let mut total = 0;
             while total < 4 * http::MAX_REQUEST_BODY {
-                self.buffer.clear();
-                match read_some(&mut self.stream, &mut self.buffer).await {
+                self.input.buffer.clear();
+                match read_some(&mut self.stream, &mut self.input.buffer).await {
                     Ok(n @ 1..) => total += n,
                     _ => return,
                 }
@@ -420,7 +344,3 @@
     }
     header
 }
-
-#[cfg(test)]
-#[path = "../../tests/unit/client_connection.rs"]
-mod tests;
--- a/limeway/src/network/stream_io.rs
+++ b/limeway/src/network/stream_io.rs
@@ -1,12 +1,12 @@
 //! Reads and writes that are repeated after an interruption by a signal, for all connections.
 
-use bytes::BytesMut;
+use bytes::BufMut;
 use std::io::{self, ErrorKind};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Appends the input that has arrived to `to`, and returns its length; 0 at the end of input. A read that a signal
 /// interrupts is repeated. Dropping the future loses no input.
-pub async fn read_some<R: AsyncRead + Unpin>(from: &mut R, to: &mut BytesMut) -> io::Result<usize> {
+pub async fn read_some<R: AsyncRead + Unpin>(from: &mut R, to: &mut impl BufMut) -> io::Result<usize> {
     loop {
         match from.read_buf(to).await {
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/limeway/tests/common/stand_ins.rs
+++ b/limeway/tests/common/stand_ins.rs
@@ -61,6 +61,12 @@
     let _ = write!(stream, "HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
 }
 
+/// The same in one piece: the system holds back a second small one until the first is acknowledged.
+pub fn write_response_at_once(stream: &mut TcpStream, head: &str, body: &str) {
+    let response = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let _ = stream.write_all(response.as_bytes());
+}
+
 /// Shuts down a connection in both directions, for all handles to it.
 pub fn close(stream: &TcpStream) {
     let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -76,6 +82,15 @@
 
 /// Starts a counter stand-in that keeps a total for each name.
 pub fn counter_stand_in() -> StandIn {
+    counter_stand_in_with(write_response)
+}
+
+/// The same for tests with many calls: it does not delay them by writing responses in pieces.
+pub fn prompt_counter_stand_in() -> StandIn {
+    counter_stand_in_with(write_response_at_once)
+}
+
+fn counter_stand_in_with(write: fn(&mut TcpStream, &str, &str)) -> StandIn {
     let totals = Mutex::new(std::collections::HashMap::<String, f64>::new());
     stand_in(move |_, message, stream| {
         let target = message.start_line.split(' ').nth(1).expect("a request target");
@@ -87,7 +102,7 @@
             *total += add.parse::<f64>().expect("a number");
             *total
         };
-        write_response(stream, "200 OK", &total.to_string());
+        write(stream, "200 OK", &total.to_string());
     })
 }
 
--- /dev/null
+++ b/limeway/tests/unit/input.rs
@@ -0,0 +1,128 @@
+//! Unit tests of a connection's input that the runtime has not noticed yet.
+
+use super::*;
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream as Client};
+use std::thread::JoinHandle;
+
+/// A client's socket, and the limiter's side of its connection, which the runtime has not polled yet.
+fn pair() -> (Client, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = Client::connect(listener.local_addr().expect("its address")).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("it is set");
+    (client, TcpStream::from_std(stream).expect("a socket"))
+}
+
+/// Reads until this many bytes have arrived, or returns false once the client is seen to have left. The runtime does
+/// not run meanwhile.
+fn read_until(input: &mut ClientInput, stream: &TcpStream, bytes: usize) -> bool {
+    for _ in 0..10_000 {
+        if !input.read_available(stream, Duration::ZERO) {
+            return false;
+        }
+        if input.buffer.len() >= bytes {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("{} of {bytes} bytes have arrived", input.buffer.len());
+}
+
+/// Writes this many bytes on a thread, as what does not fit into the socket buffers waits until the limiter reads.
+fn write(
+    mut client: Client,
+    bytes: usize,
+    then: impl FnOnce(&Client) + Send + 'static,
+) -> JoinHandle<Client> {
+    std::thread::spawn(move || {
+        client.write_all(&vec![b'x'; bytes]).expect("it is read");
+        then(&client);
+        client
+    })
+}
+
+/// Guards against forwarding a request whose client left while it waited to be accepted, or behind other requests: the
+/// end of the client's input comes after all bytes that it wrote.
+#[tokio::test]
+async fn detects_that_a_client_has_left_behind_all_that_it_wrote() {
+    for bytes in [0, 1, 200, 5_000, 300_000, 1_000_000] {
+        let (client, stream) = pair();
+        let mut input = ClientInput::new(Duration::ZERO);
+        let writer = write(client, bytes, |client| client.shutdown(Shutdown::Write).expect("it ends"));
+        assert!(!read_until(&mut input, &stream, usize::MAX), "{bytes} bytes, then the end");
+        assert_eq!(input.buffer.len(), bytes, "all bytes before the end count");
+        assert!(input.client_has_left(&stream, Duration::ZERO).await);
+        drop(writer.join());
+    }
+}
+
+#[tokio::test]
+async fn a_client_that_stays_is_not_taken_to_have_left_however_much_it_wrote() {
+    for bytes in [0, 1, 200, 5_000, 300_000, 1_000_000] {
+        let (client, stream) = pair();
+        let mut input = ClientInput::new(Duration::ZERO);
+        let writer = write(client, bytes, |_| {});
+        assert!(read_until(&mut input, &stream, bytes), "{bytes} bytes");
+        let client = writer.join().expect("it writes");
+        assert!(
+            !input.client_has_left(&stream, Duration::ZERO).await,
+            "it is still there after {bytes} bytes"
+        );
+        drop(client);
+    }
+}
+
+/// Guards against a gap in the input, and against memory without a bound: what a client writes without end is neither
+/// dropped nor held beyond the bound, but waits in the kernel until there is room.
+#[tokio::test]
+async fn a_client_that_writes_without_end_is_read_up_to_a_bound_and_without_a_gap() {
+    let (mut client, mut stream) = pair();
+    let writer = std::thread::spawn(move || {
+        let mut written = 0u8;
+        while client.write_all(&[written; 4_096]).is_ok() {
+            written = written.wrapping_add(1);
+        }
+    });
+    let mut input = ClientInput::new(Duration::ZERO);
+    assert!(read_until(&mut input, &stream, MAX_READ_AHEAD));
+    for expected in 0..1_000u32 {
+        assert!(input.buffer.len() <= MAX_READ_AHEAD, "the buffer is bounded");
+        assert!(!input.client_has_left(&stream, Duration::ZERO).await);
+        let mut block = input.buffer.split_to(4_096);
+        assert!(block.iter().all(|byte| *byte == expected as u8), "block {expected} follows the one before");
+        block.clear();
+        if expected % 2 == 0 {
+            assert!(input.read(&mut stream, || Duration::ZERO).await, "there is more");
+        }
+    }
+    drop(stream);
+    writer.join().expect("its write fails");
+}
+
+/// Guards against forwarding a request whose client has left behind more input than is held.
+#[tokio::test]
+async fn a_departure_shows_behind_input_that_stays_in_the_kernel() {
+    let (client, mut stream) = pair();
+    let mut input = ClientInput::new(Duration::ZERO);
+    let writer = write(client, MAX_READ_AHEAD + 1_000, |client| {
+        client.shutdown(Shutdown::Write).expect("it ends");
+    });
+    assert!(read_until(&mut input, &stream, MAX_READ_AHEAD));
+    let client = writer.join().expect("it writes");
+    let departure = input.read_until_client_leaves(&mut stream, || Duration::ZERO);
+    timeout(Duration::from_secs(10), departure).await.expect("the departure is noticed");
+    assert!(input.client_has_left(&stream, Duration::ZERO).await);
+    drop(client);
+}
+
+/// Guards against charging the wait for the accept to a request that arrived later on the same connection.
+#[tokio::test]
+async fn input_read_later_is_not_charged_with_the_wait_for_the_accept() {
+    let (client, stream) = pair();
+    let mut input = ClientInput::new(Duration::from_secs(3));
+    let writer = write(client, 200, |_| {});
+    assert!(read_until(&mut input, &stream, 200));
+    assert_eq!(input.read_delay, Duration::ZERO);
+    drop(writer.join());
+}
--- a/limeway/tests/unit/stream_io.rs
+++ b/limeway/tests/unit/stream_io.rs
@@ -1,6 +1,7 @@
 //! Unit tests with a stream on which every other call is interrupted and each of the rest transfers one byte.
 
 use super::*;
+use bytes::BytesMut;
 use std::io::{Error, ErrorKind};
 use std::pin::Pin;
 use std::task::{Context, Poll};
