Count each pipelined request's wait from its own arrival, not from the last byte read

Ruled out: the time of the oldest input (requests that came later would be charged with waits of others and be refused). Tests: the socket test failed before, as did nothing else; unit tests of arrivals and of the pause. Unit: input_read_later_is_not_charged_with_the_wait_for_the_accept read a field that is gone; it now asks for the wait told for both the first and the later input. Cost: no further system call, unless writing the response took over 1 ms.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -1,7 +1,8 @@
 //! The client side: listener, connections and requests.
 
+mod arrivals;
 pub mod client_connection;
 pub mod client_table;
-pub mod input;
+mod input;
 pub mod listener;
 pub mod request;
--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -121,9 +121,9 @@
     async fn write_health_response(&mut self, core: &Core, table: &ClientTable, last: bool) -> bool {
         let close = self.closes_after_response(core, table, last);
         if core.ready.get() && !core.draining.get() {
-            self.write_response(200, b"", close, b"ready\n").await
+            self.write_response(core, 200, b"", close, b"ready\n").await
         } else {
-            self.write_response(503, b"", close, b"not ready\n").await
+            self.write_response(core, 503, b"", close, b"not ready\n").await
         }
     }
 
@@ -132,7 +132,7 @@
     async fn write_rejection(&mut self, core: &Core, rejection: &Rejection, close: bool) -> bool {
         let header =
             if rejection.status == 503 { retry_after_header(core, RETRY_AFTER_OVERLOAD) } else { Vec::new() };
-        self.write_response(rejection.status, &header, close, rejection.body.as_bytes()).await
+        self.write_response(core, rejection.status, &header, close, rejection.body.as_bytes()).await
     }
 
     /// Reads a complete request; `None` if the client has left, or the connection is idle and has to close.
@@ -290,18 +290,27 @@
     async fn write_client_response(&mut self, core: &Core, response: ClientResponse, close: bool) -> bool {
         match response {
             ClientResponse::Served(response) => {
-                self.write_response(200, &response.headers, close, &response.body).await
+                self.write_response(core, 200, &response.headers, close, &response.body).await
             }
             ClientResponse::Refused(wait) => {
-                self.write_response(429, &retry_after_header(core, wait), close, b"").await
+                self.write_response(core, 429, &retry_after_header(core, wait), close, b"").await
             }
-            ClientResponse::Failed => self.write_response(502, b"", close, b"").await,
-            ClientResponse::DeadlineExceeded => self.write_response(504, b"", close, b"").await,
+            ClientResponse::Failed => self.write_response(core, 502, b"", close, b"").await,
+            ClientResponse::DeadlineExceeded => self.write_response(core, 504, b"", close, b"").await,
         }
     }
 
     /// Writes a response in one piece. True if the connection stays open.
-    async fn write_response(&mut self, status: u16, headers: &[u8], close: bool, body: &[u8]) -> bool {
+    async fn write_response(
+        &mut self,
+        core: &Core,
+        status: u16,
+        headers: &[u8],
+        close: bool,
+        body: &[u8],
+    ) -> bool {
+        // The client may be slow to take the response, and may send further requests meanwhile.
+        self.input.pause(core.lag.max_wait());
         self.out.clear();
         http::write_response(&mut self.out, status, headers, close, body);
         let written = timeout(RESPONSE_WRITE_TIMEOUT, write_all(&mut self.stream, &self.out)).await;
--- a/limeway/src/clients/input.rs
+++ b/limeway/src/clients/input.rs
@@ -1,9 +1,10 @@
-//! Input of a client's connection: the bytes that have been received and not consumed yet.
+//! Input of a client's connection: the bytes that have been received and not consumed yet, and when they arrived.
 //!
 //! No byte is dropped before the connection is closed, so what is consumed is what the client sent, without a gap. The
 //! bytes held are bounded: beyond that, input stays in the kernel until requests have been consumed, and flow control
 //! makes the client wait.
 
+use crate::clients::arrivals::Arrivals;
 use crate::network::http;
 use crate::network::stream_io::{read_some, retry_interrupted};
 use bytes::{BufMut, BytesMut};
@@ -25,49 +26,62 @@
 const SHRINK_FACTOR: usize = 4;
 /// Interval between checks for the client's departure while input stays in the kernel.
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// After a shorter pause between two reads, whether input was there already is not asked for.
+const NEGLIGIBLE_PAUSE: Duration = Duration::from_millis(1);
 
 /// Received bytes that have not been consumed.
 pub struct ClientInput {
     /// The bytes; consumed from the front.
     pub buffer: BytesMut,
-    /// When bytes were last read.
-    last_read: Instant,
-    /// Upper bound on the time that those bytes had waited to be read.
-    read_delay: Duration,
-    /// Since when input may have been waiting in the kernel because no more may be held.
-    paused_since: Option<Instant>,
+    arrivals: Arrivals,
+    /// Since when input may have been in the kernel: set while no more may be held or none is read.
+    unread_since: Option<Instant>,
 }
 
 impl ClientInput {
-    /// Starts without any bytes; what is read first has waited for at most `waited`.
+    /// Starts without any bytes; what arrived first has waited for at most `waited`.
     pub fn new(waited: Duration) -> Self {
-        let now = Instant::now();
-        ClientInput { buffer: BytesMut::new(), last_read: now, read_delay: waited, paused_since: None }
+        let unread_since = Some(before(Instant::now(), waited));
+        ClientInput { buffer: BytesMut::new(), arrivals: Arrivals::default(), unread_since }
     }
 
-    /// Time since the input read last arrived, at most.
+    /// Time since the last byte consumed arrived, at most.
     pub fn time_since_arrival(&self) -> Duration {
-        self.last_read.elapsed() + self.read_delay
+        let at = self.arrivals.of_last_consumed(self.buffer.len());
+        at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Records that nothing is read for a while; what is there already has waited for at most `max_wait`.
+    pub fn pause(&mut self, max_wait: Duration) {
+        self.unread_since.get_or_insert_with(|| before(Instant::now(), max_wait));
+    }
+
+    /// Reads what arrived with the connection itself. An end of the input is left for a later read to report.
+    pub fn read_first(&mut self, stream: &TcpStream) {
+        self.read_available(stream, Duration::ZERO);
     }
 
     /// Waits for more input, which has waited for at most the time that `max_wait` gives once it is read; false at the
     /// end of the input or after an error. Dropping the future loses no input.
     pub async fn read(&mut self, stream: &mut TcpStream, max_wait: impl Fn() -> Duration) -> bool {
+        if self.unread_since.is_some_and(|since| since.elapsed() > NEGLIGIBLE_PAUSE) {
+            match self.read_nonblocking(stream, max_wait()) {
+                Ok(length) => return length > 0,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+        }
+        self.unread_since = None;
         let room = MAX_READ_AHEAD.saturating_sub(self.buffer.len());
         match read_some(stream, &mut (&mut self.buffer).limit(room)).await {
-            Ok(1..) => {
-                self.on_read(max_wait());
+            Ok(length @ 1..) => {
+                self.on_read(length, max_wait());
                 true
             }
             _ => false,
         }
     }
 
-    /// Reads what arrived with the connection itself: it has waited for as long as that.
-    pub fn read_first(&mut self, stream: &TcpStream) {
-        self.read_available(stream, self.read_delay);
-    }
-
     /// Reads all input that has arrived, as far as it may be held. True if the client has left, by the kernel's view:
     /// that of the runtime may be one turn of its event loop behind.
     pub async fn client_has_left(&mut self, stream: &TcpStream, max_wait: Duration) -> bool {
@@ -133,25 +147,32 @@
     fn read_nonblocking(&mut self, stream: &TcpStream, max_wait: Duration) -> io::Result<usize> {
         let mut part = [0; MAX_IDLE_BUFFER];
         let room = part.len().min(MAX_READ_AHEAD - self.buffer.len());
-        let length = retry_interrupted(|| (&*socket2::SockRef::from(stream)).read(&mut part[..room]))?;
+        let read = retry_interrupted(|| (&*socket2::SockRef::from(stream)).read(&mut part[..room]));
+        let length = read.inspect_err(|_| self.unread_since = None)?;
         if length > 0 {
             self.buffer.extend_from_slice(&part[..length]);
-            self.on_read(max_wait);
+            self.on_read(length, max_wait);
         }
         Ok(length)
     }
 
-    /// Records a read of bytes that had waited for at most `max_wait`, or since no more was read.
-    fn on_read(&mut self, max_wait: Duration) {
+    /// Records that bytes were appended, which had waited for at most `max_wait`, or since the kernel was last empty.
+    fn on_read(&mut self, length: usize, max_wait: Duration) {
         let now = Instant::now();
-        let paused = self.paused_since.take().map_or(Duration::ZERO, |since| now - since);
-        (self.last_read, self.read_delay) = (now, max_wait.max(paused));
+        let latest = before(now, max_wait);
+        let at = self.unread_since.map_or(latest, |since| since.min(latest));
+        self.arrivals.record(length, at, self.buffer.len() - length);
         if !self.has_room() {
-            self.paused_since = Some(now);
+            self.unread_since.get_or_insert(now);
         }
     }
 }
 
+/// The time that lies `span` before another; that time itself if the clock does not reach back so far.
+fn before(time: Instant, span: Duration) -> Instant {
+    time.checked_sub(span).unwrap_or(time)
+}
+
 /// Whether the client has ended its sending or the connection has failed, also behind input that has not been read.
 /// Waits for news if there is no unread input.
 async fn has_ended(stream: &TcpStream) -> bool {
--- a/limeway/tests/scarcity.rs
+++ b/limeway/tests/scarcity.rs
@@ -173,6 +173,33 @@
     }
 }
 
+/// Guards against starting the deadline of a pipelined request anew whenever input arrives behind it.
+#[test]
+fn input_behind_a_pipelined_request_does_not_shorten_the_time_that_it_has_waited() {
+    let ((server, release), counter) = (gated_server(), counter_stand_in());
+    let limiter = LimiterSetup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    client
+        .write(&[request_of_customer(1, "first", 20_000), request_of_customer(2, "second", 20_000)].concat());
+    server.requests.recv_timeout(TIMEOUT).expect("an attempt");
+    // The time that the second request waits before the third arrives; this sleep orders no events.
+    std::thread::sleep(Duration::from_millis(2_000));
+    client.write(&request_of_customer(3, "third", 20_000));
+    wait_two_loop_iterations(&limiter);
+    release.send(()).expect("stand-in is running");
+    let (_, second) = server.requests.recv_timeout(TIMEOUT).expect("an attempt");
+    let forwarded = forwarded_deadline_ms(&second);
+    assert!(forwarded < 18_200, "{forwarded} ms forwarded of 20,000 ms less 2,000 ms");
+    release.send(()).expect("stand-in is running");
+    let (_, third) = server.requests.recv_timeout(TIMEOUT).expect("an attempt");
+    let forwarded = forwarded_deadline_ms(&third);
+    assert!(forwarded > 18_200, "{forwarded} ms forwarded, though it came 2,000 ms after the others");
+    release.send(()).expect("stand-in is running");
+    for id in ["first", "second", "third"] {
+        assert_eq!(client.read_response().map(|response| response.body), Some(id.to_owned()));
+    }
+}
+
 /// Keeps the limiter busy with large batches of health checks, and reads the responses, until `stop` is set.
 fn keep_busy(limiter: &Limiter, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
     let batch = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n".repeat(500);
--- a/limeway/tests/unit/input.rs
+++ b/limeway/tests/unit/input.rs
@@ -119,10 +119,31 @@
 /// Guards against charging the wait for the accept to a request that arrived later on the same connection.
 #[tokio::test]
 async fn input_read_later_is_not_charged_with_the_wait_for_the_accept() {
-    let (client, stream) = pair();
+    let (mut client, stream) = pair();
     let mut input = ClientInput::new(Duration::from_secs(3));
-    let writer = write(client, 200, |_| {});
-    assert!(read_until(&mut input, &stream, 200));
-    assert_eq!(input.read_delay, Duration::ZERO);
-    drop(writer.join());
+    client.write_all(b"first").expect("it is written");
+    assert!(read_until(&mut input, &stream, 5));
+    input.buffer.clear();
+    assert!(input.time_since_arrival() >= Duration::from_secs(3), "what came first has waited");
+    let written = Instant::now();
+    client.write_all(b"later").expect("it is written");
+    assert!(read_until(&mut input, &stream, 5));
+    input.buffer.clear();
+    assert!(input.time_since_arrival() <= written.elapsed(), "what came later has not");
+}
+
+/// Guards against a wait that is not counted: while a response is written, or more is not held, input stays in the
+/// kernel.
+#[tokio::test]
+async fn input_that_arrived_while_none_was_read_is_charged_with_the_pause() {
+    let (mut client, mut stream) = pair();
+    let mut input = ClientInput::new(Duration::ZERO);
+    assert!(input.read_available(&stream, Duration::ZERO));
+    input.pause(Duration::ZERO);
+    client.write_all(b"early").expect("it is written");
+    let pause = Duration::from_millis(50);
+    std::thread::sleep(pause);
+    assert!(input.read(&mut stream, || Duration::ZERO).await);
+    input.buffer.clear();
+    assert!(input.time_since_arrival() >= pause);
 }
