Acknowledge responses at once: a held-back second copy passed for the next response

The copy is written in the same moment, but arrives with the next request: the server's kernel holds a small write back until the first is acknowledged (Nagle), ours delays that by 40 ms, and a connection rests 20 ms. Change: connection.rs sets TCP_QUICKACK when a response has been read. The rest of 20 ms stays. Ruled out: a rest above 40 ms alone (systems delay up to 200 ms); a connection for each request (priced); matching by content (responses name no request); asking whether the request was acknowledged (the copy itself carries that acknowledgement).

--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -179,12 +179,21 @@
                 self.read_more().await?;
             }
             if let Some(response) = self.read_begun_response().await? {
+                self.acknowledge();
                 return Ok(response);
             }
         }
         Err(ExchangeError::InvalidResponse("too many interim responses"))
     }
 
+    /// Has the kernel acknowledge what was received now. It would wait for data to send along, and until then the
+    /// other side's kernel may hold back surplus bytes behind the response, which would then arrive with the next
+    /// request and be taken for its response.
+    fn acknowledge(&self) {
+        // Where this is not supported, the acknowledgement comes later.
+        let _ = socket2::SockRef::from(&self.stream).set_tcp_quickack(true);
+    }
+
     async fn read_more(&mut self) -> Result<(), ExchangeError> {
         match read_some(&mut self.stream, &mut self.buffer).await? {
             0 => Err(ExchangeError::Connection(io::ErrorKind::UnexpectedEof.into())),
--- a/limeway/tests/requests.rs
+++ b/limeway/tests/requests.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use common::*;
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 fn serve_hi_there(_: usize, _: &Message, stream: &mut TcpStream) {
@@ -404,6 +406,58 @@
     }
 }
 
+/// Starts a server stand-in that sends one response in ten twice, in a write each and without `TCP_NODELAY`: its system
+/// holds the second one back until the first is acknowledged. It declines these requests if `declines`. Returns the
+/// ids of the requests that it ran.
+fn server_that_repeats_responses(declines: bool) -> (StandIn, Arc<Mutex<Vec<String>>>) {
+    const REPEAT_ONE_IN: usize = 10;
+    let executed = Arc::new(Mutex::new(Vec::new()));
+    let (shared, count) = (executed.clone(), AtomicUsize::new(0));
+    let server = stand_in(move |_, message, stream| {
+        let id = message.header("req-id").expect("an id").to_owned();
+        // Longer than a connection rests, so that a response taken from the one before would go unnoticed.
+        std::thread::sleep(Duration::from_millis(50));
+        let repeat = count.fetch_add(1, Ordering::SeqCst) % REPEAT_ONE_IN == REPEAT_ONE_IN - 1;
+        let declined = repeat && declines;
+        let head = if declined { "503 Busy\r\nSrv-Declined: 1" } else { "200 OK" };
+        if !declined {
+            shared.lock().expect("lock is not poisoned").push(id.clone());
+        }
+        write_response_at_once(stream, head, &id);
+        if repeat {
+            write_response_at_once(stream, head, &id);
+        }
+    });
+    (server, executed)
+}
+
+/// Guards against a foreign response with 200, and against running an unsafe request twice: a second copy that the
+/// server's system holds back passed for the response to the next request on that connection.
+#[test]
+fn a_second_response_held_back_until_acknowledged_is_not_taken_for_that_of_the_next_request() {
+    let check = |class: &str, declines: bool| {
+        let (server, executed) = server_that_repeats_responses(declines);
+        let counter = prompt_counter_stand_in();
+        let limiter = LimiterSetup::new(&[&server], &counter).start();
+        let mut client = limiter.client();
+        for round in 0..60 {
+            let id = round.to_string();
+            let response = client.exchange(&request(class, &id, "team", 30_000));
+            assert!(response.status() != 200 || response.body == id, "{id} got {}", response.body);
+            // Longer than a connection rests, and shorter than systems delay acknowledgements.
+            std::thread::sleep(Duration::from_millis(22 + round % 12));
+        }
+        let executed = executed.lock().expect("lock is not poisoned");
+        let distinct: HashSet<&String> = executed.iter().collect();
+        assert!(distinct.len() > 50, "{} requests have run", distinct.len());
+        assert_eq!(distinct.len(), executed.len(), "a request of class {class} has run twice");
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| check("look", false));
+        scope.spawn(|| check("once", true));
+    });
+}
+
 #[test]
 fn interim_responses_are_skipped_up_to_a_limit() {
     let counter = counter_stand_in();
