--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -1,14 +1,15 @@
 //! A client's connection: requests are read one after the other, and each gets exactly one response.
 
-use crate::clients::client_table::{ClientTable, CloseIdle, EvictionSlot, Phase};
-use crate::clients::input::{ClientInput, MAX_IDLE_BUFFER};
+use crate::clients::client_table::{ClientTable, CloseIdle, EvictionSlot, Phase, UNRESERVED_BYTES};
+use crate::clients::input::ClientInput;
 use crate::clients::request::{self, ClientMessage, Rejection};
 use crate::core::{ClientResponse, Core};
 use crate::network::connection;
-use crate::network::http::{self, BodyReader, Head};
+use crate::network::http::{self, BodyReader, Framing, Head};
+use crate::network::memory_pool::{MemoryPool, MemoryReservation};
 use crate::network::stream_io::{read_some, write_all};
 use crate::upstream::attempts::ForwardedRequest;
-use bytes::BytesMut;
+
 use pondgw::{ClientRequest, Micros};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,15 +58,23 @@
     invalid_requests: u32,
 }
 
-/// A request as received: its parsed head, the bytes of the head, and the body.
-type ReceivedRequest = (Head, BytesMut, Vec<u8>);
+/// A request as received.
+struct ReceivedRequest {
+    /// Its parsed head, as ranges of `bytes`.
+    head: Head,
+    /// The bytes of the head.
+    bytes: Vec<u8>,
+    body: Vec<u8>,
+    /// Memory for a request of more than [`UNRESERVED_BYTES`].
+    memory: Option<MemoryReservation>,
+}
 
 impl ClientConnection {
     /// Takes over a connection that has just been accepted, after it had waited for at most `waited`.
-    pub fn new(stream: TcpStream, waited: Duration, over_limit: bool) -> Self {
+    pub fn new(stream: TcpStream, waited: Duration, over_limit: bool, memory: Rc<MemoryPool>) -> Self {
         ClientConnection {
             stream,
-            input: ClientInput::new(waited),
+            input: ClientInput::new(waited, memory),
             out: Vec::new(),
             opened_at: Instant::now(),
             awaits_first_request: true,
@@ -81,8 +90,8 @@
         let _ = self.stream.set_nodelay(true);
         self.input.read_first(&self.stream);
         loop {
-            let (head, bytes, body) = match self.read_request(core, table).await {
-                Ok(Some(message)) => message,
+            let ReceivedRequest { head, bytes, body, memory } = match self.read_request(core, table).await {
+                Ok(Some(received)) => received,
                 Ok(None) => return self.close(table, SHORT_LINGER_TIMEOUT).await,
                 Err(rejection) => {
                     self.write_rejection(core, &rejection, true).await;
@@ -91,7 +100,8 @@
             };
             self.awaits_first_request = false;
             let last = !head.keep_alive || self.over_limit;
-            let parsed = request::parse(&core.config.host_settings, &head, &bytes, body);
+            let parsed = request::parse(&core.config.host_settings, &head, &bytes, body, memory);
+            drop((head, bytes));
             self.invalid_requests = if parsed.is_err() { self.invalid_requests + 1 } else { 0 };
             let open = match parsed {
                 Err(rejection) => {
@@ -141,7 +151,7 @@
         core: &Core,
         table: &Rc<ClientTable>,
     ) -> Result<Option<ReceivedRequest>, Rejection> {
-        if self.input.buffer.is_empty() && !self.wait_for_request(core, table).await {
+        if self.input.is_empty() && !self.wait_for_request(core, table).await {
             return Ok(None);
         }
         let limit = if table.idle_to_close() == CloseIdle::All {
@@ -154,7 +164,7 @@
         let slot = EvictionSlot::register(table, Phase::PartialRequest);
         let received = tokio::select! {
             biased;
-            received = timeout(left, self.read_message(core)) => received,
+            received = timeout(left, self.read_message(core, table, &slot)) => received,
             () = slot.evicted() => {
                 let shutdown = core.draining.get();
                 Ok(Err(if shutdown { Rejection::SHUTTING_DOWN } else { Rejection::TOO_MANY_CONNECTIONS }))
@@ -187,7 +197,7 @@
             let closing = table.idle_to_close() >= closed_from;
             tokio::select! {
                 biased;
-                received = self.input.read(&mut self.stream, || core.lag.max_wait()) => {
+                received = self.input.read(&self.stream, || core.lag.max_wait()) => {
                     return self.on_first_read(received);
                 }
                 () = table.idle_to_close_changed.notified(), if !closing => continue,
@@ -200,7 +210,7 @@
                 self.evicted = slot.is_evicted().then_some(slot);
                 return false;
             }
-            let received = self.read_more(core).await;
+            let received = self.input.read(&self.stream, || core.lag.max_wait()).await;
             return self.on_first_read(received);
         }
     }
@@ -208,7 +218,7 @@
     /// Frees buffers that have grown; for an idle connection.
     fn release_buffers(&mut self) {
         self.input.shrink();
-        if self.out.capacity() > MAX_IDLE_BUFFER {
+        if self.out.capacity() > UNRESERVED_BYTES {
             self.out = Vec::new();
         }
     }
@@ -219,22 +229,55 @@
         received
     }
 
-    async fn read_message(&mut self, core: &Core) -> Result<Option<ReceivedRequest>, Rejection> {
+    async fn read_message(
+        &mut self,
+        core: &Core,
+        table: &ClientTable,
+        slot: &EvictionSlot,
+    ) -> Result<Option<ReceivedRequest>, Rejection> {
         let head = loop {
-            match http::parse_request_head(&self.input.buffer)? {
+            match http::parse_request_head(self.input.unconsumed())? {
                 Some(head) => break head,
-                None if !self.read_more(core).await => return Ok(None),
+                None if !self.read_more(core, table, slot).await? => return Ok(None),
                 None => {}
             }
         };
-        let bytes = self.input.buffer.split_to(head.len);
+        let bytes = self.input.take(head.len);
+        let max_body = match head.framing {
+            Framing::Length(length) => length,
+            Framing::Chunked | Framing::UntilClose => http::MAX_REQUEST_BODY,
+        };
+        let memory = reserve_request(table, slot, bytes.len() + max_body).await?;
         let mut body = BodyReader::new(head.framing, http::MAX_REQUEST_BODY);
-        while !body.consume(&mut self.input.buffer)? {
-            if !self.read_more(core).await {
+        body.bytes.reserve_exact(max_body);
+        loop {
+            let progress = body.read(self.input.unconsumed())?;
+            self.input.consume(progress.consumed);
+            if progress.complete {
+                break;
+            }
+            if !self.read_more(core, table, slot).await? {
                 return Ok(None);
             }
         }
-        Ok(Some((head, bytes, body.bytes)))
+        self.input.shrink();
+        let mut received = ReceivedRequest { head, bytes, body: body.bytes, memory };
+        received.shrink();
+        Ok(Some(received))
+    }
+
+    /// Reads more of a request; false at the end of the input.
+    async fn read_more(
+        &mut self,
+        core: &Core,
+        table: &ClientTable,
+        slot: &EvictionSlot,
+    ) -> Result<bool, Rejection> {
+        if let Some(missing) = self.input.missing_memory() {
+            let memory = table.reserve_memory(missing, slot).await;
+            self.input.add_memory(memory.ok_or(Rejection::OUT_OF_MEMORY)?);
+        }
+        Ok(self.input.read(&self.stream, || core.lag.max_wait()).await)
     }
 
     /// Whether the connection closes after the response: because this was its last request, the process is shutting
@@ -242,11 +285,7 @@
     /// another request behind this one counts as accepted.
     fn closes_after_response(&self, core: &Core, table: &ClientTable, last: bool) -> bool {
         let unwanted = core.draining.get() || (table.is_above_keep_alive() && !self.reused);
-        last || unwanted && self.input.buffer.is_empty() && connection::nothing_pending(&self.stream)
-    }
-
-    async fn read_more(&mut self, core: &Core) -> bool {
-        self.input.read(&mut self.stream, || core.lag.max_wait()).await
+        last || unwanted && self.input.is_empty() && connection::nothing_pending(&self.stream)
     }
 
     /// Submits a request to the gateway and writes the response. True if the connection stays open.
@@ -278,7 +317,7 @@
             biased;
             response = &mut response => response.unwrap_or(ClientResponse::Failed),
             // The client may send its next request early; the end of its input means that it has left.
-            () = self.input.read_until_client_leaves(&mut self.stream, || core.lag.max_wait()) => {
+            () = self.input.read_until_client_leaves(&self.stream, || core.lag.max_wait()) => {
                 let response = core.client_left(id);
                 return self.write_client_response(core, response, true).await;
             }
@@ -300,7 +339,7 @@
         }
     }
 
-    /// Writes a response in one piece. True if the connection stays open.
+    /// Writes a response. True if the connection stays open.
     async fn write_response(
         &mut self,
         core: &Core,
@@ -312,8 +351,19 @@
         // The client may be slow to take the response, and may send further requests meanwhile.
         self.input.pause(core.lag.max_wait());
         self.out.clear();
-        http::write_response(&mut self.out, status, headers, close, body);
-        let written = timeout(RESPONSE_WRITE_TIMEOUT, write_all(&mut self.stream, &self.out)).await;
+        http::write_response_head(&mut self.out, status, headers, close, body.len());
+        // A small body goes out with the head; a large one is not copied.
+        let separate_body = if body.len() <= UNRESERVED_BYTES {
+            self.out.extend_from_slice(body);
+            &[]
+        } else {
+            body
+        };
+        let write = async {
+            write_all(&mut self.stream, &self.out).await?;
+            write_all(&mut self.stream, separate_body).await
+        };
+        let written = timeout(RESPONSE_WRITE_TIMEOUT, write).await;
         matches!(written, Ok(Ok(()))) && !close
     }
 
@@ -326,11 +376,12 @@
             Some(evicted) => (evicted, SHORT_LINGER_TIMEOUT),
             None => (EvictionSlot::register(table, Phase::Closing), linger),
         };
+        let mut buffer = Vec::with_capacity(UNRESERVED_BYTES);
         let discard = async {
             let mut total = 0;
             while total < 4 * http::MAX_REQUEST_BODY {
-                self.input.buffer.clear();
-                match read_some(&mut self.stream, &mut self.input.buffer).await {
+                buffer.clear();
+                match read_some(&mut self.stream, &mut buffer).await {
                     Ok(n @ 1..) => total += n,
                     _ => return,
                 }
@@ -343,6 +394,31 @@
     }
 }
 
+impl ReceivedRequest {
+    /// Returns memory that the body might have needed.
+    fn shrink(&mut self) {
+        self.body.shrink_to_fit();
+        let needed = self.bytes.len() + self.body.len();
+        if needed <= UNRESERVED_BYTES {
+            self.memory = None;
+        }
+        self.memory.iter_mut().for_each(|memory| memory.shrink_to(needed));
+    }
+}
+
+/// Reserves memory for a request of up to this many bytes, if it may not do without.
+async fn reserve_request(
+    table: &ClientTable,
+    slot: &EvictionSlot,
+    bytes: usize,
+) -> Result<Option<MemoryReservation>, Rejection> {
+    if bytes <= UNRESERVED_BYTES {
+        return Ok(None);
+    }
+    let memory = table.reserve_memory(bytes, slot).await;
+    Ok(Some(memory.ok_or(Rejection::OUT_OF_MEMORY)?))
+}
+
 /// The Retry-After header, if the permissions allow it; empty if there is no wait to state.
 fn retry_after_header(core: &Core, wait: Micros) -> Vec<u8> {
     let allow = &core.config.host_settings.settings.permissions;
--- a/limeway/src/clients/client_table.rs
+++ b/limeway/src/clients/client_table.rs
@@ -1,4 +1,5 @@
-//! The open client connections: how many there may be, and which of them are closed to make room for others.
+//! The open client connections: how many there may be, how much memory their requests may take, and which of them are
+//! closed to make room for others.
 //!
 //! Three thresholds divide the number of connections that [`DescriptorBudget`] allows. Above the first, a connection is
 //! closed after the response to its first request. Above the second, connections without a request are evicted until
@@ -6,13 +7,19 @@
 //! the third on, a new connection is rejected with a response if no other can be evicted for it; the room between the
 //! third threshold and the limit is for these responses. So connections are accepted at once, and none waits in the
 //! listen queue for another to close.
+//!
+//! A connection holds little memory of its own ([`UNRESERVED_BYTES`] for input and as much for a request). What exceeds that is
+//! reserved from one pool. If the pool is used up, connections with a partial request that hold memory are evicted for a
+//! request that needs some. A complete request keeps its memory until it is finished.
 
 use crate::network::descriptors::{CountGuard, DescriptorBudget, Owner};
+use crate::network::memory_pool::{MemoryPool, MemoryReservation};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// Upper bound on the first threshold, as a fraction of the limit; the rest is room for new connections.
 const KEEP_ALIVE_FRACTION: (usize, usize) = (2, 3);
@@ -32,6 +39,12 @@
 /// sets this time.
 const MIN_KEEP_ALIVE_AGE: Duration = Duration::from_secs(2);
 
+/// Memory that a connection may take without a reservation, for its input and again for its request, in bytes. Most
+/// requests need no more.
+pub const UNRESERVED_BYTES: usize = 4 * 1024;
+/// Longest wait of a request for memory. Evicted connections give theirs back at once.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(200);
+
 /// Which idle connections are closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CloseIdle {
@@ -82,6 +95,8 @@
     since: Instant,
     /// Tells its task that it is evicted.
     evict: Rc<Notify>,
+    /// Memory reserved for its request, in bytes.
+    reserved: usize,
 }
 
 /// Numbers of open connections at which their treatment changes.
@@ -109,6 +124,8 @@
 /// The open client connections.
 pub struct ClientTable {
     descriptors: Rc<DescriptorBudget>,
+    /// Memory for input and requests beyond [`UNRESERVED_BYTES`] for each.
+    pub memory: Rc<MemoryPool>,
     /// Connections that can be evicted, by phase; of each phase, the one registered first has the smallest key.
     candidates: [RefCell<BTreeMap<u64, Candidate>>; PHASES],
     next_key: Cell<u64>,
@@ -124,9 +141,10 @@
 
 impl ClientTable {
     /// Creates an empty table.
-    pub fn new(descriptors: Rc<DescriptorBudget>) -> Rc<Self> {
+    pub fn new(descriptors: Rc<DescriptorBudget>, memory: Rc<MemoryPool>) -> Rc<Self> {
         Rc::new(ClientTable {
             descriptors,
+            memory,
             candidates: Default::default(),
             next_key: Cell::new(0),
             evicted: Cell::new(0),
@@ -210,6 +228,47 @@
         }
     }
 
+    /// Reserves memory for the request that is being read on the connection of `slot`. If there is not enough, other
+    /// partial requests are evicted for it, the oldest first. `None` if there is none in time.
+    pub async fn reserve_memory(&self, bytes: usize, slot: &EvictionSlot) -> Option<MemoryReservation> {
+        let reservation = self.memory.reserve(bytes);
+        tokio::pin!(reservation);
+        let give_up = Instant::now() + MAX_MEMORY_WAIT;
+        let (mut to_free, mut wait) = (bytes, Duration::ZERO);
+        loop {
+            if let Ok(reservation) = timeout(wait, &mut reservation).await {
+                slot.add_reserved(bytes);
+                return reservation;
+            }
+            if Instant::now() >= give_up {
+                return None;
+            }
+            to_free = to_free.saturating_sub(self.evict_for_memory(to_free));
+            wait = MIN_EVICTION_AGE;
+        }
+    }
+
+    /// Evicts connections with a partial request that holds memory, the oldest first, until they hold `bytes` together.
+    /// Returns how much they hold.
+    fn evict_for_memory(&self, bytes: usize) -> usize {
+        let mut freed = 0;
+        while freed < bytes {
+            let holder = {
+                let candidates = self.candidates[Phase::PartialRequest as usize].borrow();
+                let is_old = |candidate: &Candidate| candidate.since.elapsed() >= MIN_EVICTION_AGE;
+                candidates
+                    .iter()
+                    .take_while(|(_, candidate)| is_old(candidate))
+                    .find(|(_, candidate)| candidate.reserved > 0)
+                    .map(|(key, candidate)| (*key, candidate.reserved))
+            };
+            let Some((key, reserved)) = holder else { break };
+            self.evict(Phase::PartialRequest, key);
+            freed += reserved;
+        }
+        freed
+    }
+
     /// Evicts the oldest connection of those that have been in one of these phases for at least the time given with
     /// it; false if there is none.
     fn evict_oldest(&self, phases: &[(Phase, Duration)]) -> bool {
@@ -218,10 +277,14 @@
             let (key, first) = candidates.first_key_value()?;
             (first.since.elapsed() >= *min_age).then_some((*key, *phase))
         });
-        let Some((key, phase)) = eligible.min() else { return false };
-        let Some(oldest) = self.candidates[phase as usize].borrow_mut().remove(&key) else { return false };
+        eligible.min().is_some_and(|(key, phase)| self.evict(phase, key))
+    }
+
+    /// Evicts a connection; false if it is no candidate.
+    fn evict(&self, phase: Phase, key: u64) -> bool {
+        let Some(candidate) = self.candidates[phase as usize].borrow_mut().remove(&key) else { return false };
         self.evicted.set(self.evicted.get() + 1);
-        oldest.evict.notify_one();
+        candidate.evict.notify_one();
         true
     }
 }
@@ -239,7 +302,7 @@
     pub fn register(table: &Rc<ClientTable>, phase: Phase) -> Self {
         let (key, evict) = (table.next_key.get(), Rc::new(Notify::new()));
         table.next_key.set(key + 1);
-        let candidate = Candidate { since: Instant::now(), evict: evict.clone() };
+        let candidate = Candidate { since: Instant::now(), evict: evict.clone(), reserved: 0 };
         table.candidates[phase as usize].borrow_mut().insert(key, candidate);
         EvictionSlot { table: table.clone(), phase, key, evict }
     }
@@ -249,6 +312,13 @@
         self.evict.notified().await;
     }
 
+    /// Records that more memory is reserved for the connection's request.
+    fn add_reserved(&self, bytes: usize) {
+        if let Some(candidate) = self.table.candidates[self.phase as usize].borrow_mut().get_mut(&self.key) {
+            candidate.reserved += bytes;
+        }
+    }
+
     /// Whether the connection is evicted.
     pub fn is_evicted(&self) -> bool {
         !self.table.candidates[self.phase as usize].borrow().contains_key(&self.key)
--- a/limeway/src/clients/input.rs
+++ b/limeway/src/clients/input.rs
@@ -1,14 +1,16 @@
 //! Input of a client's connection: the bytes that have been received and not consumed yet, and when they arrived.
 //!
 //! No byte is dropped before the connection is closed, so what is consumed is what the client sent, without a gap. The
-//! bytes held are bounded: beyond that, input stays in the kernel until requests have been consumed, and flow control
-//! makes the client wait.
+//! bytes held are bounded, for a connection and by the memory pool for all together: beyond that, input stays in the
+//! kernel until requests have been consumed, and flow control makes the client wait.
 
 use crate::clients::arrivals::Arrivals;
+use crate::clients::client_table::UNRESERVED_BYTES;
 use crate::network::http;
-use crate::network::stream_io::{read_some, retry_interrupted};
-use bytes::{BufMut, BytesMut};
+use crate::network::memory_pool::{MemoryPool, MemoryReservation};
+use crate::network::stream_io::retry_interrupted;
 use std::io::{self, ErrorKind, Read};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -19,11 +21,15 @@
 const MAX_REQUEST: usize = http::MAX_HEAD + http::MAX_REQUEST_BODY;
 /// Most bytes that are held for a connection. That a client has left shows only behind all that it has sent, so more
 /// is read than one request needs.
-pub const MAX_READ_AHEAD: usize = MAX_REQUEST + 1024 * 1024;
-/// Largest buffer that an idle connection keeps, in bytes.
-pub const MAX_IDLE_BUFFER: usize = 4 * 1024;
+const MAX_READ_AHEAD: usize = MAX_REQUEST + 1024 * 1024;
+/// Least capacity of a buffer that is not empty, in bytes: enough for most requests.
+const MIN_CAPACITY: usize = 512;
 /// A buffer is replaced by a smaller one once it is this many times as large as its content.
 const SHRINK_FACTOR: usize = 4;
+/// Up to this length, the bytes are moved to the front of the buffer whenever that makes room.
+const MAX_MOVED: usize = 16 * 1024;
+/// Largest number of bytes taken from the kernel by one call.
+const READ_SIZE: usize = 4 * 1024;
 /// Interval between checks for the client's departure while input stays in the kernel.
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// After a shorter pause between two reads, whether input was there already is not asked for.
@@ -31,8 +37,12 @@
 
 /// Received bytes that have not been consumed.
 pub struct ClientInput {
-    /// The bytes; consumed from the front.
-    pub buffer: BytesMut,
+    bytes: Vec<u8>,
+    /// Number of bytes at the front of `bytes` that are consumed.
+    consumed: usize,
+    memory: Rc<MemoryPool>,
+    /// Memory for a buffer of more than [`UNRESERVED_BYTES`].
+    reserved: Option<MemoryReservation>,
     arrivals: Arrivals,
     /// Since when input may have been in the kernel: set while no more may be held or none is read.
     unread_since: Option<Instant>,
@@ -40,14 +50,46 @@
 
 impl ClientInput {
     /// Starts without any bytes; what arrived first has waited for at most `waited`.
-    pub fn new(waited: Duration) -> Self {
-        let unread_since = Some(before(Instant::now(), waited));
-        ClientInput { buffer: BytesMut::new(), arrivals: Arrivals::default(), unread_since }
+    pub fn new(waited: Duration, memory: Rc<MemoryPool>) -> Self {
+        ClientInput {
+            bytes: Vec::new(),
+            consumed: 0,
+            memory,
+            reserved: None,
+            arrivals: Arrivals::default(),
+            unread_since: Some(before(Instant::now(), waited)),
+        }
+    }
+
+    /// The bytes.
+    pub fn unconsumed(&self) -> &[u8] {
+        &self.bytes[self.consumed..]
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.unconsumed().is_empty()
+    }
+
+    /// Removes bytes from the front.
+    pub fn consume(&mut self, length: usize) {
+        self.consumed += length;
+        if self.is_empty() {
+            self.bytes.clear();
+            self.consumed = 0;
+        }
+    }
+
+    /// Removes bytes from the front and returns them.
+    pub fn take(&mut self, length: usize) -> Vec<u8> {
+        let taken = self.unconsumed()[..length].to_vec();
+        self.consume(length);
+        taken
     }
 
     /// Time since the last byte consumed arrived, at most.
     pub fn time_since_arrival(&self) -> Duration {
-        let at = self.arrivals.of_last_consumed(self.buffer.len());
+        let at = self.arrivals.of_last_consumed(self.unconsumed().len());
         at.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
@@ -56,29 +98,44 @@
         self.unread_since.get_or_insert_with(|| before(Instant::now(), max_wait));
     }
 
+    /// Memory to be added before a further byte can be held; `None` if there is room.
+    pub fn missing_memory(&mut self) -> Option<usize> {
+        (!self.has_room()).then(|| self.growth())
+    }
+
+    /// Adds memory for further bytes.
+    pub fn add_memory(&mut self, memory: MemoryReservation) {
+        match &mut self.reserved {
+            Some(reserved) => reserved.merge(memory),
+            None => self.reserved = Some(memory),
+        }
+    }
+
     /// Reads what arrived with the connection itself. An end of the input is left for a later read to report.
     pub fn read_first(&mut self, stream: &TcpStream) {
         self.read_available(stream, Duration::ZERO);
     }
 
     /// Waits for more input, which has waited for at most the time that `max_wait` gives once it is read; false at the
-    /// end of the input or after an error. Dropping the future loses no input.
-    pub async fn read(&mut self, stream: &mut TcpStream, max_wait: impl Fn() -> Duration) -> bool {
+    /// end of the input, after an error or without room. Dropping the future loses no input.
+    pub async fn read(&mut self, stream: &TcpStream, max_wait: impl Fn() -> Duration) -> bool {
         if self.unread_since.is_some_and(|since| since.elapsed() > NEGLIGIBLE_PAUSE) {
-            match self.read_nonblocking(stream, max_wait()) {
+            match self.read_from_kernel(stream, max_wait()) {
                 Ok(length) => return length > 0,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return false,
             }
         }
         self.unread_since = None;
-        let room = MAX_READ_AHEAD.saturating_sub(self.buffer.len());
-        match read_some(stream, &mut (&mut self.buffer).limit(room)).await {
-            Ok(length @ 1..) => {
-                self.on_read(length, max_wait());
-                true
+        loop {
+            if stream.readable().await.is_err() {
+                return false;
+            }
+            match self.append(max_wait(), |part| stream.try_read(part)) {
+                Ok(length) => return length > 0,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
             }
-            _ => false,
         }
     }
 
@@ -93,16 +150,12 @@
         }
         // The runtime polls the sockets before this task runs on.
         yield_now().await;
-        let closed = timeout(Duration::ZERO, has_ended(stream)).await;
-        closed.unwrap_or(false)
+        let ended = timeout(Duration::ZERO, has_ended(stream)).await;
+        ended.unwrap_or(false)
     }
 
     /// Reads ahead while a request is open; returns once the client has left.
-    pub async fn read_until_client_leaves(
-        &mut self,
-        stream: &mut TcpStream,
-        max_wait: impl Fn() -> Duration,
-    ) {
+    pub async fn read_until_client_leaves(&mut self, stream: &TcpStream, max_wait: impl Fn() -> Duration) {
         loop {
             if self.has_room() {
                 if !self.read(stream, &max_wait).await {
@@ -117,24 +170,62 @@
         }
     }
 
-    /// Frees memory that the content does not need.
+    /// Frees memory that the bytes do not need.
     pub fn shrink(&mut self) {
-        let capacity = self.buffer.capacity();
-        if capacity > MAX_IDLE_BUFFER && capacity / SHRINK_FACTOR >= self.buffer.len() {
-            self.buffer = BytesMut::from(&self.buffer[..]);
+        let length = self.unconsumed().len();
+        if self.max_capacity() <= UNRESERVED_BYTES || self.max_capacity() / SHRINK_FACTOR < length {
+            return;
         }
+        self.bytes = self.unconsumed().to_vec();
+        self.consumed = 0;
+        match length.checked_sub(UNRESERVED_BYTES) {
+            Some(needed @ 1..) => self.reserved.iter_mut().for_each(|reserved| reserved.shrink_to(needed)),
+            _ => self.reserved = None,
+        }
+    }
+
+    /// Largest capacity for which memory is reserved.
+    fn max_capacity(&self) -> usize {
+        UNRESERVED_BYTES + self.reserved.as_ref().map_or(0, MemoryReservation::bytes)
+    }
+
+    /// Number of bytes for which there is room.
+    fn room(&self) -> usize {
+        // Moving the bytes to the front must not cost more than reading them.
+        let reclaimed = if self.bytes.len() <= MAX_MOVED || self.consumed >= self.bytes.len() / 2 {
+            self.consumed
+        } else {
+            0
+        };
+        self.max_capacity().saturating_sub(self.bytes.len() - reclaimed)
     }
 
-    /// Whether more bytes may be held.
-    fn has_room(&self) -> bool {
-        self.buffer.len() < MAX_READ_AHEAD
+    /// Number of bytes to be reserved next: as many again, up to the bound for a connection.
+    fn growth(&self) -> usize {
+        let capacity = self.max_capacity();
+        capacity.min(MAX_READ_AHEAD.saturating_sub(capacity))
+    }
+
+    /// Whether more bytes may be held. Without room, reserves memory if there is enough of it.
+    fn has_room(&mut self) -> bool {
+        if self.room() > 0 {
+            return true;
+        }
+        let growth = self.growth();
+        if growth == 0 {
+            return false;
+        }
+        let spare = self.memory.try_reserve_spare(growth);
+        let granted = spare.is_some();
+        spare.into_iter().for_each(|memory| self.add_memory(memory));
+        granted
     }
 
     /// Reads all input that has arrived, as far as it may be held; it has waited for at most `max_wait`. False at the
     /// end of the input, which shows only behind all that the client wrote, or after an error.
     fn read_available(&mut self, stream: &TcpStream, max_wait: Duration) -> bool {
         while self.has_room() {
-            match self.read_nonblocking(stream, max_wait) {
+            match self.read_from_kernel(stream, max_wait) {
                 Ok(0) => return false,
                 Ok(_) => {}
                 Err(e) => return e.kind() == ErrorKind::WouldBlock,
@@ -144,27 +235,47 @@
     }
 
     /// Reads some input without waiting and without the runtime.
-    fn read_nonblocking(&mut self, stream: &TcpStream, max_wait: Duration) -> io::Result<usize> {
-        let mut part = [0; MAX_IDLE_BUFFER];
-        let room = part.len().min(MAX_READ_AHEAD - self.buffer.len());
-        let read = retry_interrupted(|| (&*socket2::SockRef::from(stream)).read(&mut part[..room]));
-        let length = read.inspect_err(|_| self.unread_since = None)?;
-        if length > 0 {
-            self.buffer.extend_from_slice(&part[..length]);
-            self.on_read(length, max_wait);
-        }
-        Ok(length)
+    fn read_from_kernel(&mut self, stream: &TcpStream, max_wait: Duration) -> io::Result<usize> {
+        let read = self.append(max_wait, |part| (&*socket2::SockRef::from(stream)).read(part));
+        read.inspect_err(|_| self.unread_since = None)
     }
 
-    /// Records that bytes were appended, which had waited for at most `max_wait`, or since the kernel was last empty.
-    fn on_read(&mut self, length: usize, max_wait: Duration) {
+    /// Appends what `read` yields, which has waited for at most `max_wait`, or since the kernel was last empty.
+    fn append(
+        &mut self,
+        max_wait: Duration,
+        mut read: impl FnMut(&mut [u8]) -> io::Result<usize>,
+    ) -> io::Result<usize> {
+        let mut part = [0; READ_SIZE];
+        let room = self.room().min(READ_SIZE);
+        let length = retry_interrupted(|| read(&mut part[..room]))?;
+        if length == 0 {
+            return Ok(0);
+        }
         let now = Instant::now();
         let latest = before(now, max_wait);
         let at = self.unread_since.map_or(latest, |since| since.min(latest));
-        self.arrivals.record(length, at, self.buffer.len() - length);
-        if !self.has_room() {
+        self.arrivals.record(length, at, self.unconsumed().len());
+        self.prepare_capacity(length);
+        self.bytes.extend_from_slice(&part[..length]);
+        if self.room() == 0 {
             self.unread_since.get_or_insert(now);
         }
+        Ok(length)
+    }
+
+    /// Prepares for appending `length` bytes, within the reserved memory.
+    fn prepare_capacity(&mut self, length: usize) {
+        if self.bytes.len() + length <= self.bytes.capacity() {
+            return;
+        }
+        self.bytes.drain(..self.consumed);
+        self.consumed = 0;
+        let needed = self.bytes.len() + length;
+        if needed > self.bytes.capacity() {
+            let capacity = needed.max(2 * self.bytes.capacity()).max(MIN_CAPACITY).min(self.max_capacity());
+            self.bytes.reserve_exact(capacity.max(needed) - self.bytes.len());
+        }
     }
 }
 
--- a/limeway/src/clients/listener.rs
+++ b/limeway/src/clients/listener.rs
@@ -57,7 +57,8 @@
                 let held = table.accept();
                 let (core, table) = (core.clone(), table.clone());
                 tokio::task::spawn_local(async move {
-                    ClientConnection::new(stream, waited, over_limit).serve(&core, &table).await;
+                    let memory = table.memory.clone();
+                    ClientConnection::new(stream, waited, over_limit, memory).serve(&core, &table).await;
                     drop(held);
                     table.closed.notify_waiters();
                 });
--- a/limeway/src/clients/request.rs
+++ b/limeway/src/clients/request.rs
@@ -1,6 +1,7 @@
 //! Parses and validates clients' requests, completely, before the gateway sees them.
 
 use crate::network::http::{Framing, Head, HttpError};
+use crate::network::memory_pool::MemoryReservation;
 use crate::upstream::attempts::ForwardedRequest;
 use pondgw::{ClientRequest, HostSettings, Idempotency};
 
@@ -39,6 +40,9 @@
 impl Rejection {
     /// The limit on connections is reached.
     pub const TOO_MANY_CONNECTIONS: Rejection = Rejection { status: 503, body: "too many connections\n" };
+    /// The memory for requests is used up.
+    pub const OUT_OF_MEMORY: Rejection =
+        Rejection { status: 503, body: "the memory for requests is used up\n" };
     /// The deadline passed before the request was read.
     pub const DEADLINE_PASSED: Rejection =
         Rejection { status: 503, body: "the request's time was over when it was read\n" };
@@ -83,12 +87,14 @@
     value.and_then(|v| std::str::from_utf8(v).ok()).filter(|v| !v.is_empty())
 }
 
-/// Parses and validates a request. What passes can go to the gateway and to servers.
+/// Parses and validates a request, which keeps the memory reserved for it. What passes can go to the gateway and to
+/// servers.
 pub fn parse(
     host_settings: &HostSettings,
     head: &Head,
     bytes: &[u8],
     body: Vec<u8>,
+    memory: Option<MemoryReservation>,
 ) -> Result<ClientMessage, Rejection> {
     let method = &bytes[head.method.clone()];
     let target =
@@ -159,7 +165,11 @@
         gateways: spread,
         first_gateway: first,
     };
-    Ok(ClientMessage::Request(id.to_vec(), request, ForwardedRequest { head: forwarded, body }))
+    Ok(ClientMessage::Request(
+        id.to_vec(),
+        request,
+        ForwardedRequest { head: forwarded, body, _memory: memory },
+    ))
 }
 
 /// Parses an unsigned number: digits only, without a sign.
--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -7,6 +7,12 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+/// The memory limit divided by this is for clients' requests and the input behind them. A list of servers may take half of
+/// the limit for a moment, see `discovery/follower.rs`.
+const REQUEST_MEMORY_DIVISOR: f64 = 4.0;
+/// Least memory for requests, in megabytes: room for several of the largest.
+const MIN_REQUEST_MEMORY_MB: f64 = 1.0;
+
 /// An error in the configuration.
 #[derive(Debug)]
 pub struct ConfigError {
@@ -111,6 +117,13 @@
 }
 
 impl Config {
+    /// Memory for clients' requests, in bytes.
+    pub fn request_memory_bytes(&self) -> usize {
+        let megabytes = (self.memory_mb / REQUEST_MEMORY_DIVISOR).max(MIN_REQUEST_MEMORY_MB);
+        // The cast saturates above the largest `usize`.
+        (megabytes * 1024.0 * 1024.0) as usize
+    }
+
     /// Reads the environment and the file that it names.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = env("ROUTER_CONFIG").ok_or_else(|| ConfigError::new("ROUTER_CONFIG", "is not set"))?;
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -20,6 +20,7 @@
 use config::Config;
 use network::descriptors::DescriptorBudget;
 use network::loop_lag::LoopLag;
+use network::memory_pool::MemoryPool;
 use signals::{SignalRequest, Signals};
 use start_error::StartError;
 use std::process::ExitCode;
@@ -87,7 +88,8 @@
         None => None,
     };
     let descriptors = DescriptorBudget::new(config.sockets);
-    let table = ClientTable::new(descriptors.clone());
+    let request_memory = Rc::new(MemoryPool::new(config.request_memory_bytes()));
+    let table = ClientTable::new(descriptors.clone(), request_memory);
     log::info!("limiter {} listens on {}", config.name, config.listen);
     let core = Core::new(config, peers, descriptors, lag);
 
--- a/limeway/src/network.rs
+++ b/limeway/src/network.rs
@@ -4,5 +4,6 @@
 pub mod descriptors;
 pub mod http;
 pub mod loop_lag;
+pub mod memory_pool;
 pub mod network_event;
 pub mod stream_io;
--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -3,7 +3,7 @@
 use crate::network::descriptors::CountGuard;
 use crate::network::http::{self, BodyReader};
 use crate::network::stream_io::{read_some, retry_interrupted, write_all};
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use std::cell::Cell;
 use std::fmt;
 use std::io;
@@ -235,10 +235,14 @@
     /// Reads a body with a length or in chunks.
     async fn read_framed(&mut self, framing: http::Framing) -> Result<Vec<u8>, ExchangeError> {
         let mut body = BodyReader::new(framing, self.max_body);
-        while !body.consume(&mut self.buffer)? {
+        loop {
+            let progress = body.read(&self.buffer)?;
+            self.buffer.advance(progress.consumed);
+            if progress.complete {
+                return Ok(body.bytes);
+            }
             self.read_more_before_stall().await?;
         }
-        Ok(body.bytes)
     }
 
     /// Reads a body that ends with the orderly close of the connection; any other end is an error.
--- a/limeway/src/network/http.rs
+++ b/limeway/src/network/http.rs
@@ -1,6 +1,5 @@
 //! HTTP/1.1 messages: heads, body framing, size limits and keep-alive, for clients, servers, the counter and discovery.
 
-use bytes::{Buf, BytesMut};
 use std::fmt;
 use std::ops::Range;
 
@@ -217,6 +216,15 @@
     }
 }
 
+/// Result of passing input to a [`BodyReader`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// Number of bytes of the input that belong to the body and its framing.
+    pub consumed: usize,
+    /// Whether the body is complete.
+    pub complete: bool,
+}
+
 /// Reads a body incrementally.
 #[derive(Debug)]
 pub struct BodyReader {
@@ -244,67 +252,111 @@
         }
     }
 
-    /// Removes the bytes of the body from the front of `from`; true once the body is complete.
-    pub fn consume(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
+    /// Takes the bytes of the body from the front of the input.
+    pub fn read(&mut self, input: &[u8]) -> Result<BodyProgress, HttpError> {
         match self.framing {
             Framing::Length(length) => {
-                let part = from.len().min(length - self.bytes.len());
-                self.bytes.extend_from_slice(&from[..part]);
-                from.advance(part);
-                Ok(self.bytes.len() == length)
+                let consumed = input.len().min(length - self.bytes.len());
+                self.bytes.extend_from_slice(&input[..consumed]);
+                Ok(BodyProgress { consumed, complete: self.bytes.len() == length })
             }
             // Its end is not in the data; the caller reads such a body to the close of the connection.
             Framing::UntilClose => Err(HttpError::Malformed),
-            Framing::Chunked => self.consume_chunks(from),
+            Framing::Chunked => self.read_chunks(input),
         }
     }
 
-    fn consume_chunks(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
+    fn read_chunks(&mut self, input: &[u8]) -> Result<BodyProgress, HttpError> {
+        let mut consumed = 0;
         loop {
-            if self.in_trailers {
-                let Some(end) = from.windows(2).position(|w| w == b"\r\n") else {
-                    return if from.len() > MAX_CHUNK_LINE { Err(HttpError::HeadTooLong) } else { Ok(false) };
-                };
-                from.advance(end + 2);
-                self.trailers_length += end + 2;
-                if self.trailers_length > MAX_CHUNK_LINE {
-                    return Err(HttpError::HeadTooLong);
-                }
-                if end == 0 {
-                    return Ok(true);
-                }
+            let rest = &input[consumed..];
+            let step = if self.in_trailers {
+                self.read_trailer(rest)?
             } else if let Some(left) = self.chunk_left {
-                let part = from.len().min(left);
-                self.bytes.extend_from_slice(&from[..part]);
-                from.advance(part);
-                self.chunk_left = Some(left - part);
-                if left > part || from.len() < 2 {
-                    return Ok(false);
-                }
-                if !from.starts_with(b"\r\n") {
-                    return Err(HttpError::Malformed);
-                }
-                from.advance(2);
-                self.chunk_left = None;
+                self.read_chunk_data(rest, left)?
             } else {
-                match httparse::parse_chunk_size(from) {
-                    Ok(httparse::Status::Complete((len, size))) => {
-                        let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
-                        if size > self.max_length - self.bytes.len() {
-                            return Err(HttpError::BodyTooLong);
-                        }
-                        from.advance(len);
-                        self.in_trailers = size == 0;
-                        self.chunk_left = (size > 0).then_some(size);
-                    }
-                    Ok(httparse::Status::Partial) if from.len() <= MAX_CHUNK_LINE => return Ok(false),
-                    _ => return Err(HttpError::Malformed),
+                self.read_chunk_size(rest)?
+            };
+            consumed += step.consumed;
+            match step.progress {
+                ChunkProgress::Continues => {}
+                ChunkProgress::NeedsInput => return Ok(BodyProgress { consumed, complete: false }),
+                ChunkProgress::Complete => return Ok(BodyProgress { consumed, complete: true }),
+            }
+        }
+    }
+
+    /// Reads one line of the trailers, which are dropped; an empty one ends the body.
+    fn read_trailer(&mut self, input: &[u8]) -> Result<ChunkStep, HttpError> {
+        let Some(end) = input.windows(2).position(|w| w == b"\r\n") else {
+            return if input.len() > MAX_CHUNK_LINE {
+                Err(HttpError::HeadTooLong)
+            } else {
+                Ok(ChunkStep { consumed: 0, progress: ChunkProgress::NeedsInput })
+            };
+        };
+        let consumed = end + 2;
+        self.trailers_length += consumed;
+        if self.trailers_length > MAX_CHUNK_LINE {
+            return Err(HttpError::HeadTooLong);
+        }
+        let progress = if end == 0 { ChunkProgress::Complete } else { ChunkProgress::Continues };
+        Ok(ChunkStep { consumed, progress })
+    }
+
+    /// Reads data of the current chunk, of which `left` bytes are still to come, and the line end behind it.
+    fn read_chunk_data(&mut self, input: &[u8], left: usize) -> Result<ChunkStep, HttpError> {
+        let part = input.len().min(left);
+        self.bytes.extend_from_slice(&input[..part]);
+        self.chunk_left = Some(left - part);
+        let behind = &input[part..];
+        if left > part || behind.len() < 2 {
+            return Ok(ChunkStep { consumed: part, progress: ChunkProgress::NeedsInput });
+        }
+        if !behind.starts_with(b"\r\n") {
+            return Err(HttpError::Malformed);
+        }
+        self.chunk_left = None;
+        Ok(ChunkStep { consumed: part + 2, progress: ChunkProgress::Continues })
+    }
+
+    /// Reads the line before a chunk, which gives its size; the last chunk has none.
+    fn read_chunk_size(&mut self, input: &[u8]) -> Result<ChunkStep, HttpError> {
+        match httparse::parse_chunk_size(input) {
+            Ok(httparse::Status::Complete((consumed, size))) => {
+                let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
+                if size > self.max_length - self.bytes.len() {
+                    return Err(HttpError::BodyTooLong);
                 }
+                self.in_trailers = size == 0;
+                self.chunk_left = (size > 0).then_some(size);
+                Ok(ChunkStep { consumed, progress: ChunkProgress::Continues })
             }
+            Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_LINE => {
+                Ok(ChunkStep { consumed: 0, progress: ChunkProgress::NeedsInput })
+            }
+            _ => Err(HttpError::Malformed),
         }
     }
 }
 
+/// What follows a step in reading chunks.
+enum ChunkProgress {
+    /// Another step with the rest of the input.
+    Continues,
+    /// More input is needed.
+    NeedsInput,
+    /// The body is complete.
+    Complete,
+}
+
+/// Result of a step in reading chunks.
+struct ChunkStep {
+    /// Number of bytes of the input that were used.
+    consumed: usize,
+    progress: ChunkProgress,
+}
+
 /// Whether bytes contain what looks like the status line of a response.
 pub fn contains_status_line(bytes: &[u8]) -> bool {
     const VERSION: &[u8] = b"HTTP/1.";
@@ -314,8 +366,8 @@
     })
 }
 
-/// Appends a response with its head and body to `to`.
-pub fn write_response(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body: &[u8]) {
+/// Appends the head of a response whose body has `body_length` bytes to `to`.
+pub fn write_response_head(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body_length: usize) {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -343,7 +395,6 @@
         to.extend_from_slice(b"Connection: close\r\n");
     }
     to.extend_from_slice(b"Content-Length: ");
-    to.extend_from_slice(digits.format(body.len()).as_bytes());
+    to.extend_from_slice(digits.format(body_length).as_bytes());
     to.extend_from_slice(b"\r\n\r\n");
-    to.extend_from_slice(body);
 }
--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -4,6 +4,7 @@
 use crate::log_limiter::LogLimiter;
 use crate::network::connection::{ExchangeError, OutboundConnection, Response};
 use crate::network::http;
+use crate::network::memory_pool::MemoryReservation;
 use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent, ServedResponse};
 use crate::upstream::servers::{Checkout, ServerPools};
 use pondgw::{LoadReport, Micros, RequestId, ServerId, Status};
@@ -22,6 +23,8 @@
     pub head: Vec<u8>,
     /// Body.
     pub body: Vec<u8>,
+    /// Memory reserved for the request.
+    pub _memory: Option<MemoryReservation>,
 }
 
 /// An attempt to be made.
@@ -127,8 +130,8 @@
             return Status::NotSent.into();
         }
         // The time left is computed only now, as establishing the connection may have taken long.
-        let message = request_bytes(&spec.request, spec.deadline.saturating_sub(self.clock.now()));
-        if let Err(e) = conn.write(&message, written).await {
+        let time_left = spec.deadline.saturating_sub(self.clock.now());
+        if let Err(e) = write_request(&mut conn, &spec.request, time_left, written).await {
             log::debug!("server {}: connection broke before the request was written: {e}", spec.server);
             // The request was not written completely, so the server cannot have run it.
             return Status::ConnectFailed.into();
@@ -182,6 +185,10 @@
     load
 }
 
+/// Largest body that is copied behind the head to be written in one piece, in bytes. A larger one is written from where it
+/// is, as each attempt would hold a copy.
+const MAX_COPIED_BODY: usize = 4 * 1024;
+
 /// Headers of a server's response that are forwarded to the client: those that describe the body or control caches.
 const FORWARDED_HEADERS: [&str; 7] = [
     "content-type",
@@ -202,10 +209,17 @@
     error.raw_os_error().is_some_and(|code| LOCAL_ERRORS.contains(&code))
 }
 
-/// The request as written to a server, with the headers that depend on the attempt.
-fn request_bytes(request: &ForwardedRequest, time_left: Micros) -> Vec<u8> {
+/// Writes a request to a server, with the headers that depend on the attempt; sets `written` once its last byte is
+/// handed to the system.
+async fn write_request(
+    conn: &mut OutboundConnection,
+    request: &ForwardedRequest,
+    time_left: Micros,
+    written: &Cell<bool>,
+) -> io::Result<()> {
     let mut digits = itoa::Buffer::new();
-    let mut message = Vec::with_capacity(request.head.len() + request.body.len() + 64);
+    let copied_body = if request.body.len() <= MAX_COPIED_BODY { &request.body[..] } else { &[] };
+    let mut message = Vec::with_capacity(request.head.len() + copied_body.len() + 64);
     message.extend_from_slice(&request.head);
     message.extend_from_slice(b"Req-Deadline-Ms: ");
     message.extend_from_slice(digits.format((time_left / 1_000).max(1)).as_bytes());
@@ -214,8 +228,13 @@
         message.extend_from_slice(digits.format(request.body.len()).as_bytes());
     }
     message.extend_from_slice(b"\r\n\r\n");
-    message.extend_from_slice(&request.body);
-    message
+    message.extend_from_slice(copied_body);
+    if copied_body.len() == request.body.len() {
+        return conn.write(&message, written).await;
+    }
+    conn.write(&message, &Cell::new(false)).await?;
+    drop(message);
+    conn.write(&request.body, written).await
 }
 
 #[cfg(test)]
--- a/limeway/tests/unit/client_table.rs
+++ b/limeway/tests/unit/client_table.rs
@@ -12,12 +12,15 @@
     Open { _held: table.accept(), slot: phase.map(|phase| EvictionSlot::register(table, phase)) }
 }
 
+/// Memory for requests in these tests.
+const POOL_BYTES: usize = 1024 * 1024;
+
 fn is_evicted(open: &Open) -> bool {
     open.slot.as_ref().is_some_and(EvictionSlot::is_evicted)
 }
 
 fn table(total: usize) -> Rc<ClientTable> {
-    ClientTable::new(DescriptorBudget::new(total))
+    ClientTable::new(DescriptorBudget::new(total), Rc::new(MemoryPool::new(POOL_BYTES)))
 }
 
 fn evicted(all: &[Open]) -> usize {
--- a/limeway/tests/unit/input.rs
+++ b/limeway/tests/unit/input.rs
@@ -14,6 +14,11 @@
     (client, TcpStream::from_std(stream).expect("a socket"))
 }
 
+/// Input of a connection whose first bytes have waited for this time, with memory for all that it may hold.
+fn input(waited: Duration) -> ClientInput {
+    ClientInput::new(waited, Rc::new(MemoryPool::new(4 * MAX_READ_AHEAD)))
+}
+
 /// Reads until this many bytes have arrived, or returns false once the client is seen to have left. The runtime does
 /// not run meanwhile.
 fn read_until(input: &mut ClientInput, stream: &TcpStream, bytes: usize) -> bool {
@@ -21,12 +26,12 @@
         if !input.read_available(stream, Duration::ZERO) {
             return false;
         }
-        if input.buffer.len() >= bytes {
+        if input.unconsumed().len() >= bytes {
             return true;
         }
         std::thread::sleep(Duration::from_millis(1));
     }
-    panic!("{} of {bytes} bytes have arrived", input.buffer.len());
+    panic!("{} of {bytes} bytes have arrived", input.unconsumed().len());
 }
 
 /// Writes this many bytes on a thread, as what does not fit into the socket buffers waits until the limiter reads.
@@ -48,10 +53,10 @@
 async fn detects_that_a_client_has_left_behind_all_that_it_wrote() {
     for bytes in [0, 1, 200, 5_000, 300_000, 1_000_000] {
         let (client, stream) = pair();
-        let mut input = ClientInput::new(Duration::ZERO);
+        let mut input = input(Duration::ZERO);
         let writer = write(client, bytes, |client| client.shutdown(Shutdown::Write).expect("it ends"));
         assert!(!read_until(&mut input, &stream, usize::MAX), "{bytes} bytes, then the end");
-        assert_eq!(input.buffer.len(), bytes, "all bytes before the end count");
+        assert_eq!(input.unconsumed().len(), bytes, "all bytes before the end count");
         assert!(input.client_has_left(&stream, Duration::ZERO).await);
         drop(writer.join());
     }
@@ -61,7 +66,7 @@
 async fn a_client_that_stays_is_not_taken_to_have_left_however_much_it_wrote() {
     for bytes in [0, 1, 200, 5_000, 300_000, 1_000_000] {
         let (client, stream) = pair();
-        let mut input = ClientInput::new(Duration::ZERO);
+        let mut input = input(Duration::ZERO);
         let writer = write(client, bytes, |_| {});
         assert!(read_until(&mut input, &stream, bytes), "{bytes} bytes");
         let client = writer.join().expect("it writes");
@@ -77,23 +82,22 @@
 /// dropped nor held beyond the bound, but waits in the kernel until there is room.
 #[tokio::test]
 async fn a_client_that_writes_without_end_is_read_up_to_a_bound_and_without_a_gap() {
-    let (mut client, mut stream) = pair();
+    let (mut client, stream) = pair();
     let writer = std::thread::spawn(move || {
         let mut written = 0u8;
         while client.write_all(&[written; 4_096]).is_ok() {
             written = written.wrapping_add(1);
         }
     });
-    let mut input = ClientInput::new(Duration::ZERO);
+    let mut input = input(Duration::ZERO);
     assert!(read_until(&mut input, &stream, MAX_READ_AHEAD));
     for expected in 0..1_000u32 {
-        assert!(input.buffer.len() <= MAX_READ_AHEAD, "the buffer is bounded");
+        assert!(input.unconsumed().len() <= MAX_READ_AHEAD, "the buffer is bounded");
         assert!(!input.client_has_left(&stream, Duration::ZERO).await);
-        let mut block = input.buffer.split_to(4_096);
+        let block = input.take(4_096);
         assert!(block.iter().all(|byte| *byte == expected as u8), "block {expected} follows the one before");
-        block.clear();
-        if expected % 2 == 0 {
-            assert!(input.read(&mut stream, || Duration::ZERO).await, "there is more");
+        if input.has_room() {
+            assert!(input.read(&stream, || Duration::ZERO).await, "there is more");
         }
     }
     drop(stream);
@@ -103,14 +107,14 @@
 /// Guards against forwarding a request whose client has left behind more input than is held.
 #[tokio::test]
 async fn a_departure_shows_behind_input_that_stays_in_the_kernel() {
-    let (client, mut stream) = pair();
-    let mut input = ClientInput::new(Duration::ZERO);
+    let (client, stream) = pair();
+    let mut input = input(Duration::ZERO);
     let writer = write(client, MAX_READ_AHEAD + 1_000, |client| {
         client.shutdown(Shutdown::Write).expect("it ends");
     });
     assert!(read_until(&mut input, &stream, MAX_READ_AHEAD));
     let client = writer.join().expect("it writes");
-    let departure = input.read_until_client_leaves(&mut stream, || Duration::ZERO);
+    let departure = input.read_until_client_leaves(&stream, || Duration::ZERO);
     timeout(Duration::from_secs(10), departure).await.expect("the departure is noticed");
     assert!(input.client_has_left(&stream, Duration::ZERO).await);
     drop(client);
@@ -120,15 +124,15 @@
 #[tokio::test]
 async fn input_read_later_is_not_charged_with_the_wait_for_the_accept() {
     let (mut client, stream) = pair();
-    let mut input = ClientInput::new(Duration::from_secs(3));
+    let mut input = input(Duration::from_secs(3));
     client.write_all(b"first").expect("it is written");
     assert!(read_until(&mut input, &stream, 5));
-    input.buffer.clear();
+    input.consume(5);
     assert!(input.time_since_arrival() >= Duration::from_secs(3), "what came first has waited");
     let written = Instant::now();
     client.write_all(b"later").expect("it is written");
     assert!(read_until(&mut input, &stream, 5));
-    input.buffer.clear();
+    input.consume(5);
     assert!(input.time_since_arrival() <= written.elapsed(), "what came later has not");
 }
 
@@ -136,14 +140,51 @@
 /// kernel.
 #[tokio::test]
 async fn input_that_arrived_while_none_was_read_is_charged_with_the_pause() {
-    let (mut client, mut stream) = pair();
-    let mut input = ClientInput::new(Duration::ZERO);
+    let (mut client, stream) = pair();
+    let mut input = input(Duration::ZERO);
     assert!(input.read_available(&stream, Duration::ZERO));
     input.pause(Duration::ZERO);
     client.write_all(b"early").expect("it is written");
     let pause = Duration::from_millis(50);
     std::thread::sleep(pause);
-    assert!(input.read(&mut stream, || Duration::ZERO).await);
-    input.buffer.clear();
+    assert!(input.read(&stream, || Duration::ZERO).await);
+    input.consume(5);
     assert!(input.time_since_arrival() >= pause);
 }
+
+/// Guards against memory of many connections without a bound: without memory to reserve, input stays in the kernel, and
+/// what is held without a reservation is small.
+#[tokio::test]
+async fn without_memory_input_stays_in_the_kernel() {
+    let memory = Rc::new(MemoryPool::new(0));
+    let (client, stream) = pair();
+    let mut input = ClientInput::new(Duration::ZERO, memory);
+    let writer = write(client, 100_000, |_| {});
+    assert!(read_until(&mut input, &stream, UNRESERVED_BYTES));
+    for _ in 0..100 {
+        assert!(!input.client_has_left(&stream, Duration::ZERO).await);
+        assert!(input.bytes.capacity() <= UNRESERVED_BYTES);
+    }
+    drop((stream, writer.join()));
+}
+
+/// Guards against memory that is not given back.
+#[tokio::test]
+async fn memory_for_reading_ahead_is_given_back_and_leaves_half_of_the_pool() {
+    let memory = Rc::new(MemoryPool::new(256 * 1024));
+    let (client, stream) = pair();
+    let mut input = ClientInput::new(Duration::ZERO, memory.clone());
+    let writer = write(client, 300_000, |_| {});
+    assert!(read_until(&mut input, &stream, 64 * 1024));
+    let rest = memory.try_reserve(128 * 1024);
+    assert!(rest.is_some(), "half of the pool is left for others");
+    assert!(input.bytes.capacity() <= input.max_capacity());
+    let held = input.unconsumed().len();
+    input.consume(held - 10);
+    input.shrink();
+    assert_eq!(input.unconsumed(), [b'x'; 10]);
+    assert_eq!(input.max_capacity(), UNRESERVED_BYTES);
+    drop(rest);
+    assert!(memory.try_reserve(256 * 1024).is_some(), "all memory is given back");
+    drop((stream, writer.join()));
+}
