Give back input memory while a body is read, and when a connection closes

A client that sent much at once kept up to 128 KiB reserved for its input beside its body, until the body was whole, and through the lingering close.

--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -253,6 +253,7 @@
         loop {
             let progress = body.read(self.input.unconsumed())?;
             self.input.consume(progress.consumed);
+            self.input.shrink();
             if progress.complete {
                 break;
             }
@@ -260,7 +261,6 @@
                 return Ok(None);
             }
         }
-        self.input.shrink();
         let mut received = ReceivedRequest { head, bytes, body: body.bytes, memory };
         received.shrink();
         Ok(Some(received))
@@ -372,6 +372,7 @@
     /// the client that no more requests are accepted.
     async fn close(&mut self, table: &Rc<ClientTable>, linger: Duration) {
         let _ = self.stream.shutdown().await;
+        self.input.clear();
         let (slot, linger) = match self.evicted.take() {
             Some(evicted) => (evicted, SHORT_LINGER_TIMEOUT),
             None => (EvictionSlot::register(table, Phase::Closing), linger),
--- a/limeway/src/clients/input.rs
+++ b/limeway/src/clients/input.rs
@@ -87,6 +87,12 @@
         taken
     }
 
+    /// Drops all bytes, when nothing more is served on the connection.
+    pub fn clear(&mut self) {
+        self.consume(self.unconsumed().len());
+        self.shrink();
+    }
+
     /// Time since the last byte consumed arrived, at most.
     pub fn time_since_arrival(&self) -> Duration {
         let at = self.arrivals.of_last_consumed(self.unconsumed().len());
