--- a/limeway/tests/scarcity.rs
+++ b/limeway/tests/scarcity.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -149,9 +150,17 @@
     assert_eq!(server.requests.try_iter().count(), 0);
 }
 
-/// Guards against starting the deadline of a pipelined request only when the request before it is answered.
-#[test]
-fn time_spent_behind_a_pipelined_request_is_deducted_from_the_deadline() {
+/// A limiter with a request at its only server, and another waiting behind it on the same connection for 2,000 ms.
+struct PipelinedRequests {
+    server: StandIn,
+    /// Has the server respond to one request.
+    release: Sender<()>,
+    limiter: Limiter,
+    client: Client,
+}
+
+/// Sends two requests of 20,000 ms at once, and lets 2,000 ms pass before the server responds to the first.
+fn pipelined_requests() -> PipelinedRequests {
     let ((server, release), counter) = (gated_server(), counter_stand_in());
     let limiter = LimiterSetup::new(&[&server], &counter).start();
     let mut client = limiter.client();
@@ -160,6 +169,13 @@
     server.requests.recv_timeout(TIMEOUT).expect("an attempt");
     // The time that the second request waits; this sleep orders no events.
     std::thread::sleep(Duration::from_millis(2_000));
+    PipelinedRequests { server, release, limiter, client }
+}
+
+/// Guards against starting the deadline of a pipelined request only when the request before it is answered.
+#[test]
+fn time_spent_behind_a_pipelined_request_is_deducted_from_the_deadline() {
+    let PipelinedRequests { server, release, limiter: _limiter, mut client } = pipelined_requests();
     release.send(()).expect("stand-in is running");
     let (_, second) = server.requests.recv_timeout(TIMEOUT).expect("an attempt");
     assert!(
@@ -176,14 +192,7 @@
 /// Guards against starting the deadline of a pipelined request anew whenever input arrives behind it.
 #[test]
 fn input_behind_a_pipelined_request_does_not_shorten_the_time_that_it_has_waited() {
-    let ((server, release), counter) = (gated_server(), counter_stand_in());
-    let limiter = LimiterSetup::new(&[&server], &counter).start();
-    let mut client = limiter.client();
-    client
-        .write(&[request_of_customer(1, "first", 20_000), request_of_customer(2, "second", 20_000)].concat());
-    server.requests.recv_timeout(TIMEOUT).expect("an attempt");
-    // The time that the second request waits before the third arrives; this sleep orders no events.
-    std::thread::sleep(Duration::from_millis(2_000));
+    let PipelinedRequests { server, release, limiter, mut client } = pipelined_requests();
     client.write(&request_of_customer(3, "third", 20_000));
     wait_two_loop_iterations(&limiter);
     release.send(()).expect("stand-in is running");
