--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod lengths;
 mod memory;
+mod restart;
 mod world;
 
 use std::path::PathBuf;
@@ -36,6 +37,7 @@
         "drain-pieces" => drains::run(&record, drains::Trouble::Pieces, trouble),
         "drain-late" => drains::run(&record, drains::Trouble::SilentThenLate, trouble),
         "gone" => gone::run(&record, trouble),
+        "restart" => restart::run(&record, trouble),
         other => Err(std::io::Error::other(format!("no case {other}"))),
     };
     let code = match held {
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -390,6 +390,12 @@
         Ok(())
     }
 
+    /// Sends it a signal, by name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let command = format!("kill -{name} {}", self.child.id());
+        Command::new("/bin/sh").args(["-c", &command]).status().map(drop)
+    }
+
     /// Waits until it answers its health check with 200.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let give_up = Instant::now() + limit;
