Bound the memory of all server responses: endless ones took a limiter over its limit

Cause: network/connection.rs, read_framed and read_to_close, held what had arrived of each response, up to 1 MiB, as long as more came. Nothing bounded the sum but the number of connections. A complete body that its client does not take, and totals of the counter (up to 1 MiB each), had no other bound either.

Change: network/response_memory.rs, a pool of an eighth of the memory limit (2 MB at least). Beyond 8 KiB a response reserves what arrives; if the pool is used up, the response that has been arriving longest is given up, none within 250 ms. Complete ones keep their memory until the client has taken them. Totals have 1 KiB at most. The wait for memory that client_table had is MemoryPool::reserve_evicting now and serves both; it asks for what is really missing.

Ruled out: a smaller bound for each response (loses large good ones); giving up the largest; reserving all of any announced length.

--- a/limeway/src/clients/client_table.rs
+++ b/limeway/src/clients/client_table.rs
@@ -231,21 +231,10 @@
     /// Reserves memory for the request that is being read on the connection of `slot`. If there is not enough, other
     /// partial requests are evicted for it, the oldest first. `None` if there is none in time.
     pub async fn reserve_memory(&self, bytes: usize, slot: &EvictionSlot) -> Option<MemoryReservation> {
-        let reservation = self.memory.reserve(bytes);
-        tokio::pin!(reservation);
-        let give_up = Instant::now() + MAX_MEMORY_WAIT;
-        let (mut to_free, mut wait) = (bytes, Duration::ZERO);
-        loop {
-            if let Ok(reservation) = timeout(wait, &mut reservation).await {
-                slot.add_reserved(bytes);
-                return reservation;
-            }
-            if Instant::now() >= give_up {
-                return None;
-            }
-            to_free = to_free.saturating_sub(self.evict_for_memory(to_free));
-            wait = MIN_EVICTION_AGE;
-        }
+        let reservation =
+            self.memory.reserve_evicting(bytes, MIN_EVICTION_AGE, |missing| self.evict_for_memory(missing));
+        let reservation = timeout(MAX_MEMORY_WAIT, reservation).await.ok().flatten();
+        reservation.inspect(|_| slot.add_reserved(bytes))
     }
 
     /// Evicts connections with a partial request that holds memory, the oldest first, until they hold `bytes` together.
--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -12,6 +12,11 @@
 const REQUEST_MEMORY_DIVISOR: f64 = 4.0;
 /// Least memory for requests, in megabytes: room for several of the largest.
 const MIN_REQUEST_MEMORY_MB: f64 = 1.0;
+/// The memory limit divided by this is for responses of servers and of the counter.
+const RESPONSE_MEMORY_DIVISOR: f64 = 8.0;
+/// Least memory for responses, in megabytes: room for more than the largest.
+const MIN_RESPONSE_MEMORY_MB: f64 = 2.0;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 
 /// An error in the configuration.
 #[derive(Debug)]
@@ -119,9 +124,19 @@
 impl Config {
     /// Memory for clients' requests, in bytes.
     pub fn request_memory_bytes(&self) -> usize {
-        let megabytes = (self.memory_mb / REQUEST_MEMORY_DIVISOR).max(MIN_REQUEST_MEMORY_MB);
+        self.memory_share(REQUEST_MEMORY_DIVISOR, MIN_REQUEST_MEMORY_MB)
+    }
+
+    /// Memory for responses, in bytes.
+    pub fn response_memory_bytes(&self) -> usize {
+        self.memory_share(RESPONSE_MEMORY_DIVISOR, MIN_RESPONSE_MEMORY_MB)
+    }
+
+    /// The memory limit divided by `divisor`, but no less than `min_mb` megabytes, in bytes.
+    fn memory_share(&self, divisor: f64, min_mb: f64) -> usize {
+        let megabytes = (self.memory_mb / divisor).max(min_mb);
         // The cast saturates above the largest `usize`.
-        (megabytes * 1024.0 * 1024.0) as usize
+        (megabytes * BYTES_PER_MB) as usize
     }
 
     /// Reads the environment and the file that it names.
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -6,10 +6,13 @@
 use crate::clock::Clock;
 use crate::config::{Config, ServiceAddresses};
 use crate::discovery::catalog::ServerList;
+use crate::discovery::follower;
 use crate::log_limiter::LogLimiter;
+use crate::network::connection::ResponseLimits;
 use crate::network::descriptors::DescriptorBudget;
 use crate::network::loop_lag::LoopLag;
 use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent, ServedResponse};
+use crate::network::response_memory::ResponseMemory;
 use crate::upstream::attempts::{AttemptRunner, AttemptSpec, ForwardedRequest};
 use crate::upstream::servers::ServerPools;
 use crate::{counter, peers};
@@ -127,6 +130,8 @@
     pub sink: EventSink,
     /// Current addresses of discovery and the counter.
     pub service_addresses: Cell<ServiceAddresses>,
+    /// Limits on the lists that are received from discovery.
+    pub list_limits: ResponseLimits,
     /// Notified when the address of discovery has changed.
     pub discovery_moved: Notify,
     /// Notified when the gateway asks to watch discovery: at start if discovery pushes changes, otherwise each time
@@ -177,15 +182,21 @@
         sink: EventSink,
     ) -> Self {
         let (clock, log_limiter) = (Rc::new(Clock::new()), Rc::new(LogLimiter::default()));
+        let response_memory = ResponseMemory::new(config.response_memory_bytes());
         let call_timeout =
             config.host_settings.settings.counter.as_ref().map_or(0, |counter| counter.call_timeout);
-        let counter = config
-            .service_addresses
-            .counter
-            .map(|address| counter::Counter::new(address, call_timeout, descriptors.clone(), sink.clone()));
+        let counter = config.service_addresses.counter.map(|address| {
+            let (descriptors, memory) = (descriptors.clone(), response_memory.clone());
+            counter::Counter::new(address, call_timeout, descriptors, memory, sink.clone())
+        });
         let pools = Rc::new(ServerPools::new(&config.host_settings, descriptors.clone()));
-        let attempt_runner =
-            AttemptRunner::new(pools.clone(), clock.clone(), log_limiter.clone(), sink.clone());
+        let attempt_runner = AttemptRunner::new(
+            pools.clone(),
+            clock.clone(),
+            log_limiter.clone(),
+            response_memory,
+            sink.clone(),
+        );
         let gateway = Gateway::new(config.host_settings.settings.clone(), config.seed, clock.now());
         Core {
             pools,
@@ -197,6 +208,7 @@
             peers,
             sink,
             service_addresses: Cell::new(config.service_addresses),
+            list_limits: follower::list_limits(&config),
             discovery_moved: Notify::new(),
             watch_requested: Notify::new(),
             ready: Cell::new(false),
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -1,8 +1,9 @@
 //! Client of the counter service.
 
-use crate::network::connection::{ExchangeError, OutboundConnection, Response};
+use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits};
 use crate::network::descriptors::{self, CountGuard, DescriptorBudget, Owner};
 use crate::network::network_event::{EventSink, NetworkEvent};
+use crate::network::response_memory::ResponseMemory;
 use pondgw::{Micros, Status};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
@@ -14,12 +15,15 @@
 /// An idle connection is kept for this time. The counter closes one after some 10 s or less, and if a call is sent just
 /// then, it is unknown whether its amount was added.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+/// Largest body of a response, in bytes: a total is a number.
+const MAX_TOTAL_LENGTH: usize = 1024;
 
 /// Calls the counter. A connection carries one call at a time, so that giving up a call affects no other.
 pub struct Counter {
     address: Cell<SocketAddr>,
     call_timeout: Duration,
     descriptors: Rc<DescriptorBudget>,
+    response_limits: ResponseLimits,
     sink: EventSink,
     idle: RefCell<Vec<CounterConnection>>,
     /// Number of connections to the current address.
@@ -43,6 +47,7 @@
         address: SocketAddr,
         call_timeout: Micros,
         descriptors: Rc<DescriptorBudget>,
+        memory: Rc<ResponseMemory>,
         sink: EventSink,
     ) -> Rc<Self> {
         let call_timeout = Duration::from_micros(call_timeout);
@@ -50,6 +55,7 @@
             address: Cell::new(address),
             call_timeout,
             descriptors,
+            response_limits: ResponseLimits { max_body: MAX_TOTAL_LENGTH, memory },
             sink,
             idle: RefCell::default(),
             open: RefCell::default(),
@@ -101,8 +107,8 @@
         // `Status::Declined`, as nothing is added if no connection may be opened.
         let held = self.descriptors.try_acquire(Owner::Counter).filter(|_| open.get() < MAX_CONNECTIONS);
         let (held, _open) = (held.ok_or(Status::Declined)?, CountGuard::new(&open));
-        let conn =
-            OutboundConnection::connect(self.address.get(), held).await.map_err(|_| Status::ConnectFailed)?;
+        let conn = OutboundConnection::connect(self.address.get(), held, self.response_limits.clone());
+        let conn = conn.await.map_err(|_| Status::ConnectFailed)?;
         Ok(CounterConnection { conn, _open })
     }
 
@@ -131,7 +137,9 @@
             Ok(response) => response,
             Err(ExchangeError::Connection(_)) => return (Status::Reset, 0.0),
             // The amount was added, but the total cannot be read.
-            Err(ExchangeError::InvalidResponse(_)) => return (Status::Error, 0.0),
+            Err(ExchangeError::InvalidResponse(_) | ExchangeError::Evicted(_)) => {
+                return (Status::Error, 0.0)
+            }
         };
         let result = match head.status {
             200 => match std::str::from_utf8(&body).ok().and_then(|t| t.trim().parse::<f64>().ok()) {
--- a/limeway/src/discovery/follower.rs
+++ b/limeway/src/discovery/follower.rs
@@ -8,11 +8,13 @@
 //! after a failure; only a watch that is overdue is followed by another call at once. In push mode, this follower
 //! decides both.
 
+use crate::config::Config;
 use crate::core::Core;
 use crate::discovery::catalog::ServerList;
-use crate::network::connection::{ExchangeError, OutboundConnection, Response};
+use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits};
 use crate::network::descriptors::{self, Owner};
 use crate::network::http;
+use crate::network::response_memory::ResponseMemory;
 use pondgw::{Event, HostSettings, ListKind};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -245,10 +247,12 @@
     grace.min(OVERDUE_AFTER)
 }
 
-/// Longest list that is read, in bytes.
-fn max_list_bytes(core: &Core) -> usize {
+/// Limits on lists: each call may hold one of the largest size, so that none is given up for another.
+pub fn list_limits(config: &Config) -> ResponseLimits {
     // The cast turns a negative value or NaN into 0, and saturates above the largest `usize`.
-    ((core.config.memory_mb * LIST_BYTES_PER_MB) as usize).max(http::MAX_RESPONSE_BODY)
+    let max_body = ((config.memory_mb * LIST_BYTES_PER_MB) as usize).max(http::MAX_RESPONSE_BODY);
+    let all_calls = MAX_CALLS.saturating_mul(max_body.saturating_add(2 * http::MAX_HEAD));
+    ResponseLimits { max_body, memory: ResponseMemory::new(all_calls) }
 }
 
 /// Requests the whole list, or with `seq` the changes since that version, for which discovery waits up to `hold_ms`.
@@ -263,19 +267,15 @@
         None => "/catalog/members".to_owned(),
     };
     let message = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
-    let max_bytes = max_list_bytes(&core);
+    let limits = core.list_limits.clone();
+    let max_bytes = limits.max_body;
     let exchange = async {
         let mut conn = match idle.filter(OutboundConnection::nothing_pending) {
             Some(conn) => conn,
             None => {
                 let held = core.descriptors.try_acquire(Owner::Discovery);
                 let held = held.ok_or_else(|| io::Error::other("the limit of open calls is reached"))?;
-                OutboundConnection::connect_with_body_limit(
-                    core.service_addresses.get().discovery,
-                    held,
-                    max_bytes,
-                )
-                .await?
+                OutboundConnection::connect(core.service_addresses.get().discovery, held, limits).await?
             }
         };
         conn.write(message.as_bytes(), &Cell::new(false)).await?;
--- a/limeway/src/network.rs
+++ b/limeway/src/network.rs
@@ -6,4 +6,5 @@
 pub mod loop_lag;
 pub mod memory_pool;
 pub mod network_event;
+pub mod response_memory;
 pub mod stream_io;
--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -2,13 +2,16 @@
 
 use crate::network::descriptors::CountGuard;
 use crate::network::http::{self, BodyReader};
+use crate::network::memory_pool::MemoryReservation;
+use crate::network::response_memory::{ResponseAllowance, ResponseEvicted, ResponseMemory};
 use crate::network::stream_io::{read_some, retry_interrupted, write_all};
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use std::cell::Cell;
 use std::fmt;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -20,6 +23,10 @@
 const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Largest buffer that an idle connection keeps, in bytes.
 const MAX_IDLE_BUFFER: usize = 4 * 1024;
+/// Largest number of bytes taken from the kernel by the first read of a response: enough for most of them.
+const FIRST_READ_SIZE: usize = 1024;
+/// The same for each further read.
+const READ_SIZE: usize = 4 * 1024;
 
 /// Why a request got no response.
 #[derive(Debug)]
@@ -28,6 +35,8 @@
     Connection(io::Error),
     /// The input is not a valid response. The connection may still be open, but cannot be used any more.
     InvalidResponse(&'static str),
+    /// The response was given up, as there is not enough memory for all that arrive.
+    Evicted(ResponseEvicted),
 }
 
 impl From<io::Error> for ExchangeError {
@@ -42,11 +51,18 @@
     }
 }
 
+impl From<ResponseEvicted> for ExchangeError {
+    fn from(e: ResponseEvicted) -> Self {
+        ExchangeError::Evicted(e)
+    }
+}
+
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ExchangeError::Connection(e) => write!(f, "connection failed: {e}"),
             ExchangeError::InvalidResponse(reason) => write!(f, "invalid response: {reason}"),
+            ExchangeError::Evicted(e) => e.fmt(f),
         }
     }
 }
@@ -61,6 +77,8 @@
     pub bytes: BytesMut,
     /// Its body.
     pub body: Vec<u8>,
+    /// Memory reserved for the body.
+    pub memory: Option<MemoryReservation>,
     /// Whether the connection can carry another request.
     pub reusable: bool,
     /// Whether the body was ended by the orderly close of the connection, as the head gives no length.
@@ -106,13 +124,21 @@
     }
 }
 
+/// Limits on what is received of responses.
+#[derive(Debug, Clone)]
+pub struct ResponseLimits {
+    /// Largest body of one, in bytes.
+    pub max_body: usize,
+    /// Memory for all together.
+    pub memory: Rc<ResponseMemory>,
+}
+
 /// A connection that the limiter has opened.
 pub struct OutboundConnection {
     stream: TcpStream,
     buffer: BytesMut,
     idle_since: Instant,
-    /// Largest body of a response, in bytes.
-    max_body: usize,
+    limits: ResponseLimits,
     /// The address that it was opened to.
     pub address: SocketAddr,
     _held: CountGuard,
@@ -120,23 +146,14 @@
 
 impl OutboundConnection {
     /// Opens a connection, which keeps `held` until it is dropped.
-    pub async fn connect(address: SocketAddr, held: CountGuard) -> io::Result<Self> {
-        Self::connect_with_body_limit(address, held, http::MAX_RESPONSE_BODY).await
-    }
-
-    /// The same, for response bodies of up to `max_body` bytes.
-    pub async fn connect_with_body_limit(
-        address: SocketAddr,
-        held: CountGuard,
-        max_body: usize,
-    ) -> io::Result<Self> {
+    pub async fn connect(address: SocketAddr, held: CountGuard, limits: ResponseLimits) -> io::Result<Self> {
         let stream = connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(OutboundConnection {
             stream,
-            buffer: BytesMut::with_capacity(1024),
+            buffer: BytesMut::with_capacity(FIRST_READ_SIZE),
             idle_since: Instant::now(),
-            max_body,
+            limits,
             address,
             _held: held,
         })
@@ -176,7 +193,7 @@
     pub async fn read_response(&mut self) -> Result<Response, ExchangeError> {
         for _ in 0..=MAX_INTERIM_RESPONSES {
             if self.buffer.is_empty() {
-                self.read_more().await?;
+                self.read_more(FIRST_READ_SIZE).await?;
             }
             if let Some(response) = self.read_begun_response().await? {
                 self.acknowledge();
@@ -194,70 +211,111 @@
         let _ = socket2::SockRef::from(&self.stream).set_tcp_quickack(true);
     }
 
-    async fn read_more(&mut self) -> Result<(), ExchangeError> {
-        match read_some(&mut self.stream, &mut self.buffer).await? {
+    /// Reads up to `length` bytes.
+    async fn read_more(&mut self, length: usize) -> Result<(), ExchangeError> {
+        self.buffer.reserve(length);
+        match read_some(&mut self.stream, &mut (&mut self.buffer).limit(length)).await? {
             0 => Err(ExchangeError::Connection(io::ErrorKind::UnexpectedEof.into())),
             _ => Ok(()),
         }
     }
 
-    /// Reads more of a response that has begun, within the stall timeout. Guards against a head that never ends and a
-    /// body shorter than its length.
-    async fn read_more_before_stall(&mut self) -> Result<(), ExchangeError> {
-        timeout(STALL_TIMEOUT, self.read_more())
-            .await
-            .unwrap_or(Err(ExchangeError::InvalidResponse("stalled")))
+    /// Reads more of a response that has begun, of which `held` bytes are held, within the stall timeout. Guards against
+    /// a head that never ends and a body shorter than its length.
+    async fn read_more_before_stall(
+        &mut self,
+        allowance: &mut ResponseAllowance,
+        held: usize,
+    ) -> Result<(), ExchangeError> {
+        allowance.grow_to(held + READ_SIZE).await?;
+        tokio::select! {
+            biased;
+            () = allowance.evicted() => Err(ResponseEvicted.into()),
+            read = timeout(STALL_TIMEOUT, self.read_more(READ_SIZE)) => {
+                read.unwrap_or(Err(ExchangeError::InvalidResponse("stalled")))
+            }
+        }
     }
 
     /// Reads the rest of a response that has begun; `None` if it was an interim one.
     async fn read_begun_response(&mut self) -> Result<Option<Response>, ExchangeError> {
+        let max_body = self.limits.max_body;
+        let max_bytes = http::MAX_HEAD + max_body + READ_SIZE;
+        let mut allowance = ResponseAllowance::new(&self.limits.memory, max_bytes);
         let head = loop {
-            match http::parse_response_head(&self.buffer, self.max_body)? {
+            match http::parse_response_head(&self.buffer, max_body)? {
                 Some(head) => break head,
-                None => self.read_more_before_stall().await?,
+                None => self.read_more_before_stall(&mut allowance, self.buffer.len()).await?,
             }
         };
         let bytes = self.buffer.split_to(head.len);
         if (100..200).contains(&head.status) && head.status != 101 {
             return Ok(None);
         }
+        if let http::Framing::Length(length) = head.framing {
+            allowance.announce(head.len + length + READ_SIZE);
+        }
         let close_delimited = head.framing == http::Framing::UntilClose;
-        let body = match (close_delimited, head.status) {
-            (true, 200) => self.read_to_close().await?,
+        let mut body = match (close_delimited, head.status) {
+            (true, 200) => self.read_to_close(&mut allowance, head.len).await?,
             // With any other status, the body is not used.
             (true, _) => Vec::new(),
-            (false, _) => self.read_framed(head.framing).await?,
+            (false, _) => self.read_framed(head.framing, &mut allowance, head.len).await?,
         };
+        body.shrink_to_fit();
+        let memory = allowance.finish(body.capacity());
         let reusable = head.keep_alive && !close_delimited && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Response { head, bytes, body, reusable, close_delimited }))
+        Ok(Some(Response { head, bytes, body, memory, reusable, close_delimited }))
     }
 
-    /// Reads a body with a length or in chunks.
-    async fn read_framed(&mut self, framing: http::Framing) -> Result<Vec<u8>, ExchangeError> {
-        let mut body = BodyReader::new(framing, self.max_body);
+    /// Reads a body with a length or in chunks, behind a head of `head_length` bytes.
+    async fn read_framed(
+        &mut self,
+        framing: http::Framing,
+        allowance: &mut ResponseAllowance,
+        head_length: usize,
+    ) -> Result<Vec<u8>, ExchangeError> {
+        let mut body = BodyReader::new(framing, self.limits.max_body);
         loop {
             let progress = body.read(&self.buffer)?;
             self.buffer.advance(progress.consumed);
             if progress.complete {
                 return Ok(body.bytes);
             }
-            self.read_more_before_stall().await?;
+            let held = head_length + self.buffer.len() + body.bytes.len();
+            self.read_more_before_stall(allowance, held).await?;
+            reserve_within(&mut body.bytes, READ_SIZE, allowance.bytes() - head_length);
         }
     }
 
-    /// Reads a body that ends with the orderly close of the connection; any other end is an error.
-    async fn read_to_close(&mut self) -> Result<Vec<u8>, ExchangeError> {
+    /// Reads a body that ends with the orderly close of the connection, behind a head of `head_length` bytes. Any other
+    /// end is an error.
+    async fn read_to_close(
+        &mut self,
+        allowance: &mut ResponseAllowance,
+        head_length: usize,
+    ) -> Result<Vec<u8>, ExchangeError> {
+        let mut body = Vec::new();
         loop {
-            if self.buffer.len() > self.max_body {
+            body.extend_from_slice(&self.buffer);
+            self.buffer.clear();
+            if body.len() > self.limits.max_body {
                 return Err(http::HttpError::BodyTooLong.into());
             }
-            match self.read_more_before_stall().await {
-                Ok(()) => {}
+            match self.read_more_before_stall(allowance, head_length + body.len()).await {
+                Ok(()) => reserve_within(&mut body, READ_SIZE, allowance.bytes() - head_length),
                 Err(ExchangeError::Connection(e)) if e.kind() == io::ErrorKind::UnexpectedEof => {
-                    return Ok(std::mem::take(&mut self.buffer).to_vec());
+                    return Ok(body);
                 }
                 Err(e) => return Err(e),
             }
         }
     }
 }
+
+/// Makes room for `additional` bytes. If the vector has to grow, it grows to `capacity` at once.
+fn reserve_within(bytes: &mut Vec<u8>, additional: usize, capacity: usize) {
+    if bytes.capacity() - bytes.len() < additional {
+        bytes.reserve_exact(capacity.saturating_sub(bytes.len()).max(additional));
+    }
+}
--- a/limeway/src/network/memory_pool.rs
+++ b/limeway/src/network/memory_pool.rs
@@ -4,7 +4,9 @@
 //! small ones.
 
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 /// Memory is reserved in units of this many bytes.
 const UNIT: usize = 1024;
@@ -53,6 +55,27 @@
         }
         self.units.clone().acquire_many_owned(units(bytes)).await.ok().map(MemoryReservation)
     }
+
+    /// The same; if there is not enough memory, calls `evict` at once and then at the interval. It gets the number of
+    /// bytes to be returned by others, beyond what it has made them return, and returns how many these now return.
+    pub async fn reserve_evicting(
+        &self,
+        bytes: usize,
+        interval: Duration,
+        mut evict: impl FnMut(usize) -> usize,
+    ) -> Option<MemoryReservation> {
+        let available = self.units.available_permits() * UNIT;
+        let reservation = self.reserve(bytes);
+        tokio::pin!(reservation);
+        let (mut missing, mut wait) = (bytes.saturating_sub(available), Duration::ZERO);
+        loop {
+            if let Ok(reservation) = timeout(wait, &mut reservation).await {
+                return reservation;
+            }
+            missing = missing.saturating_sub(evict(missing));
+            wait = interval;
+        }
+    }
 }
 
 impl MemoryReservation {
--- a/limeway/src/network/network_event.rs
+++ b/limeway/src/network/network_event.rs
@@ -1,6 +1,7 @@
 //! Events that attempts, counter calls and the socket for other limiters' datagrams report. These
 //! parts are started by function calls; their events come back through a sink.
 
+use crate::network::memory_pool::MemoryReservation;
 use pondgw::{LoadReport, Micros, RequestId, Status};
 use std::rc::Rc;
 
@@ -45,6 +46,8 @@
     pub headers: Vec<u8>,
     /// The body.
     pub body: Vec<u8>,
+    /// Memory reserved for the body.
+    pub _memory: Option<MemoryReservation>,
 }
 
 /// Result of an attempt.
--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -2,10 +2,11 @@
 
 use crate::clock::Clock;
 use crate::log_limiter::LogLimiter;
-use crate::network::connection::{ExchangeError, OutboundConnection, Response};
+use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits};
 use crate::network::http;
 use crate::network::memory_pool::MemoryReservation;
 use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent, ServedResponse};
+use crate::network::response_memory::ResponseMemory;
 use crate::upstream::servers::{Checkout, ServerPools};
 use pondgw::{LoadReport, Micros, RequestId, ServerId, Status};
 use std::cell::Cell;
@@ -48,6 +49,7 @@
     pools: Rc<ServerPools>,
     clock: Rc<Clock>,
     log_limiter: Rc<LogLimiter>,
+    response_limits: ResponseLimits,
     sink: EventSink,
 }
 
@@ -57,9 +59,11 @@
         pools: Rc<ServerPools>,
         clock: Rc<Clock>,
         log_limiter: Rc<LogLimiter>,
+        memory: Rc<ResponseMemory>,
         sink: EventSink,
     ) -> Rc<Self> {
-        Rc::new(AttemptRunner { pools, clock, log_limiter, sink })
+        let response_limits = ResponseLimits { max_body: http::MAX_RESPONSE_BODY, memory };
+        Rc::new(AttemptRunner { pools, clock, log_limiter, response_limits, sink })
     }
 
     /// Makes an attempt and reports its outcome. A status received on `stopped` ends the attempt early. Its connection
@@ -93,7 +97,8 @@
         let mut conn = match pools.take(spec.server) {
             Some(Checkout::Idle(conn)) => conn,
             Some(Checkout::Connect(address, held)) => {
-                match timeout(pools.connect_timeout, OutboundConnection::connect(address, held)).await {
+                let conn = OutboundConnection::connect(address, held, self.response_limits.clone());
+                match timeout(pools.connect_timeout, conn).await {
                     Ok(Ok(conn)) => {
                         // After a pause of this process, the runtime may find the connection established and at the
                         // same time an event that forbids this attempt. Tasks woken by such events run first.
@@ -136,19 +141,20 @@
             // The request was not written completely, so the server cannot have run it.
             return Status::ConnectFailed.into();
         }
-        let Response { head, bytes, body, reusable, close_delimited } = match conn.read_response().await {
-            Ok(response) => response,
-            Err(ExchangeError::Connection(e)) => {
-                log::debug!("server {}: connection broke: {e}", spec.server);
-                pools.record_reset(spec.server);
-                return Status::Reset.into();
-            }
-            // The server is up and has run the request: only this connection is closed.
-            Err(e) => {
-                log::debug!("server {}: {e}", spec.server);
-                return Status::Error.into();
-            }
-        };
+        let Response { head, bytes, body, memory, reusable, close_delimited } =
+            match conn.read_response().await {
+                Ok(response) => response,
+                Err(ExchangeError::Connection(e)) => {
+                    log::debug!("server {}: connection broke: {e}", spec.server);
+                    pools.record_reset(spec.server);
+                    return Status::Reset.into();
+                }
+                // The server is up and has run the request: only this connection is closed.
+                Err(e) => {
+                    log::debug!("server {}: {e}", spec.server);
+                    return Status::Error.into();
+                }
+            };
         if close_delimited && head.status == 200 && !self.is_complete(spec.server, started, &body) {
             log::debug!("server {}: response without a length may be truncated", spec.server);
             return Status::Error.into();
@@ -165,7 +171,7 @@
         let response = (status == Status::Ok).then(|| {
             let mut headers = Vec::new();
             head.copy_headers(&bytes, &FORWARDED_HEADERS, &mut headers);
-            ServedResponse { headers, body }
+            ServedResponse { headers, body, _memory: memory }
         });
         let load = head.header(&bytes, "srv-load").map(parse_load_report).unwrap_or_default();
         AttemptResult { status, response, load }
