Fail a response with more behind its body than a second copy: cut ones were served as 200

Cause: network/connection.rs, read_begun_response, took a response for good once its framing was satisfied; the rest of the body in the buffer only kept the connection from being used again, and upstream/attempts.rs made it Status::Ok. BodyReader::read_trailer also took any line behind a last chunk for a trailer.

Change: when a response is complete, what is behind it is looked at, in the buffer or else in the kernel, after the acknowledgement that makes a server's system send what it holds back, and without a wait. A status line is a second copy and changes nothing; other bytes behind a 200 make the attempt Status::Error (it may have run). Trailers must look like headers.

--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, BufMut, BytesMut};
 use std::cell::Cell;
 use std::fmt;
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +27,8 @@
 const FIRST_READ_SIZE: usize = 1024;
 /// The same for each further read.
 const READ_SIZE: usize = 4 * 1024;
+/// Number of bytes behind a response that are looked at: more than the beginning of a status line.
+const SURPLUS_SIZE: usize = 64;
 
 /// Why a request got no response.
 #[derive(Debug)]
@@ -69,6 +71,27 @@
 
 impl std::error::Error for ExchangeError {}
 
+/// What has arrived behind a complete response, to which nothing was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Surplus {
+    /// Nothing.
+    None,
+    /// Another response, or the beginning of one.
+    Response,
+    /// Other bytes: noise, or the rest of a body that is longer than its framing says.
+    Other,
+}
+
+impl Surplus {
+    fn of(bytes: &[u8]) -> Self {
+        match bytes {
+            [] => Surplus::None,
+            bytes if http::begins_response(bytes) => Surplus::Response,
+            _ => Surplus::Other,
+        }
+    }
+}
+
 /// A complete response.
 pub struct Response {
     /// Its head, as ranges of `bytes`.
@@ -79,6 +102,8 @@
     pub body: Vec<u8>,
     /// Memory reserved for the body.
     pub memory: Option<MemoryReservation>,
+    /// What has arrived behind it so far.
+    pub surplus: Surplus,
     /// Whether the connection can carry another request.
     pub reusable: bool,
     /// Whether the body was ended by the orderly close of the connection, as the head gives no length.
@@ -196,13 +221,24 @@
                 self.read_more(FIRST_READ_SIZE).await?;
             }
             if let Some(response) = self.read_begun_response().await? {
-                self.acknowledge();
                 return Ok(response);
             }
         }
         Err(ExchangeError::InvalidResponse("too many interim responses"))
     }
 
+    /// What has arrived behind a response, in the buffer or in the kernel, without waiting for more. It is not kept, as a
+    /// connection with surplus bytes is not used again.
+    fn take_surplus(&mut self) -> Surplus {
+        if self.buffer.is_empty() {
+            let mut bytes = [0; SURPLUS_SIZE];
+            let mut socket = &*socket2::SockRef::from(&self.stream);
+            let length = retry_interrupted(|| socket.read(&mut bytes)).unwrap_or(0);
+            return Surplus::of(&bytes[..length]);
+        }
+        Surplus::of(&self.buffer)
+    }
+
     /// Has the kernel acknowledge what was received now. It would wait for data to send along, and until then the
     /// other side's kernel may hold back surplus bytes behind the response, which would then arrive with the next
     /// request and be taken for its response.
@@ -264,8 +300,10 @@
         };
         body.shrink_to_fit();
         let memory = allowance.finish(body.capacity());
-        let reusable = head.keep_alive && !close_delimited && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Response { head, bytes, body, memory, reusable, close_delimited }))
+        self.acknowledge();
+        let surplus = if close_delimited { Surplus::None } else { self.take_surplus() };
+        let reusable = head.keep_alive && !close_delimited && head.status >= 200 && surplus == Surplus::None;
+        Ok(Some(Response { head, bytes, body, memory, surplus, reusable, close_delimited }))
     }
 
     /// Reads a body with a length or in chunks, behind a head of `head_length` bytes.
--- a/limeway/src/network/http.rs
+++ b/limeway/src/network/http.rs
@@ -300,6 +300,10 @@
         if self.trailers_length > MAX_CHUNK_LINE {
             return Err(HttpError::HeadTooLong);
         }
+        // Data in their place would be the rest of the body, behind a last chunk that comes too early.
+        if end > 0 && !is_field_line(&input[..end]) {
+            return Err(HttpError::Malformed);
+        }
         let progress = if end == 0 { ChunkProgress::Complete } else { ChunkProgress::Continues };
         Ok(ChunkStep { consumed, progress })
     }
@@ -340,6 +344,15 @@
     }
 }
 
+/// Characters of a header's name other than letters and digits.
+const NAME_SYMBOLS: &[u8] = b"!#$%&'*+-.^_`|~";
+
+/// Whether a line has the form of a header: a name, a colon and a value.
+fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return false };
+    colon > 0 && line[..colon].iter().all(|byte| byte.is_ascii_alphanumeric() || NAME_SYMBOLS.contains(byte))
+}
+
 /// What follows a step in reading chunks.
 enum ChunkProgress {
     /// Another step with the rest of the input.
@@ -357,13 +370,24 @@
     progress: ChunkProgress,
 }
 
+/// Beginning of a status line; [`ANY_DIGIT`] stands for any digit.
+const STATUS_LINE: &[u8] = b"HTTP/1.# ###";
+const ANY_DIGIT: u8 = b'#';
+/// Least number of bytes that are taken for the beginning of a status line.
+const MIN_STATUS_LINE: usize = b"HTTP/".len();
+
+/// Whether bytes begin with a status line, as far as they go.
+pub fn begins_response(bytes: &[u8]) -> bool {
+    let fits = |(byte, expected): (&u8, &u8)| match *expected {
+        ANY_DIGIT => byte.is_ascii_digit(),
+        expected => *byte == expected,
+    };
+    bytes.len() >= MIN_STATUS_LINE && bytes.iter().zip(STATUS_LINE).all(fits)
+}
+
 /// Whether bytes contain what looks like the status line of a response.
 pub fn contains_status_line(bytes: &[u8]) -> bool {
-    const VERSION: &[u8] = b"HTTP/1.";
-    const DIGITS: Range<usize> = 9..12;
-    bytes.windows(DIGITS.end).any(|line| {
-        line.starts_with(VERSION) && line[8] == b' ' && line[DIGITS].iter().all(u8::is_ascii_digit)
-    })
+    bytes.windows(STATUS_LINE.len()).any(begins_response)
 }
 
 /// Appends the head of a response whose body has `body_length` bytes to `to`.
--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::log_limiter::LogLimiter;
-use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits};
+use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits, Surplus};
 use crate::network::http;
 use crate::network::memory_pool::MemoryReservation;
 use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent, ServedResponse};
@@ -141,7 +141,7 @@
             // The request was not written completely, so the server cannot have run it.
             return Status::ConnectFailed.into();
         }
-        let Response { head, bytes, body, memory, reusable, close_delimited } =
+        let Response { head, bytes, body, memory, surplus, reusable, close_delimited } =
             match conn.read_response().await {
                 Ok(response) => response,
                 Err(ExchangeError::Connection(e)) => {
@@ -159,6 +159,11 @@
             log::debug!("server {}: response without a length may be truncated", spec.server);
             return Status::Error.into();
         }
+        // The bytes behind the body may be the rest of it, and a client could not tell that it is cut short.
+        if surplus == Surplus::Other && head.status == 200 {
+            log::debug!("server {}: surplus bytes behind the response, which may be truncated", spec.server);
+            return Status::Error.into();
+        }
         let declined = head.header(&bytes, "srv-declined") == Some(b"1");
         let status = match head.status {
             200 => Status::Ok,
