Begin attempts only for clients known to be connected: departed ones had requests forwarded

Clients that sent 24 requests of 64 KiB at once and closed had requests forwarded 0.2 to 0.3 s after the close; 0.15 s are allowed.

Cause: the end of input shows behind all that was sent. What is read ahead is bounded, so input stays in the kernel, its window closes, and the client's system keeps the end back. clients/input.rs (client_has_left, read_until_client_leaves) took a client for present as long as no end showed.

Change: clients/presence.rs. A client is watched while all its input has been read, else last seen when that was so, when it connected, or when it was last sent a response (a system answers that with a reset for a client that has gone). core::start_attempt and attempts, before the write, begin nothing for a client not seen for 50 ms; a request without an attempt is then refused and its connection goes on, so that no request that was read goes unanswered. MAX_READ_AHEAD is 4 MiB more than a request, not 1: the end shows for more clients, within half of the pool as before. The decisions of the module are unchanged.

Ruled out: refusing all requests with more behind them than may be held (clients that stay would get nothing); reading on and dropping; interim responses as a probe.

Evidence: tests/departures.rs, two new tests that order the events (the client writes until nothing is taken in, then leaves, then there is a server): both failed on the program before, pass now. Clients that stay: tests/pipelining.rs, 200 of 200 requests of 64 KiB served at 32 MB.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -5,4 +5,5 @@
 pub mod client_table;
 mod input;
 pub mod listener;
+pub mod presence;
 pub mod request;
--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -1,7 +1,7 @@
 //! A client's connection: requests are read one after the other, and each gets exactly one response.
 
 use crate::clients::client_table::{ClientTable, CloseIdle, EvictionSlot, Phase, UNRESERVED_BYTES};
-use crate::clients::input::ClientInput;
+use crate::clients::input::{ClientInput, ClientNews};
 use crate::clients::request::{self, ClientMessage, Rejection};
 use crate::core::{ClientResponse, Core};
 use crate::network::connection;
@@ -308,18 +308,34 @@
             let close = self.closes_after_response(core, table, last);
             return self.write_rejection(core, &Rejection::DEADLINE_PASSED, close).await;
         }
-        let Some((id, mut response)) = core.submit(&client_id, request, forwarded) else {
+        if !self.input.presence().is_known() {
+            let close = self.closes_after_response(core, table, last);
+            return self.write_rejection(core, &Rejection::TOO_MUCH_AHEAD, close).await;
+        }
+        let presence = self.input.presence().clone();
+        let Some((id, mut response)) = core.submit(&client_id, request, forwarded, presence) else {
             self.invalid_requests += 1;
             let close = self.closes_after_response(core, table, last);
             return self.write_rejection(core, &Rejection::ID_IN_USE, close).await;
         };
-        let response = tokio::select! {
-            biased;
-            response = &mut response => response.unwrap_or(ClientResponse::Failed),
-            // The client may send its next request early; the end of its input means that it has left.
-            () = self.input.read_until_client_leaves(&self.stream, || core.lag.max_wait()) => {
-                let response = core.client_left(id);
-                return self.write_client_response(core, response, true).await;
+        let response = loop {
+            let news = tokio::select! {
+                biased;
+                response = &mut response => break response.unwrap_or(ClientResponse::Failed),
+                // The client may send its next request early; the end of its input means that it has left.
+                news = self.input.watch_client(&self.stream, || core.lag.max_wait()) => news,
+            };
+            match news {
+                ClientNews::Left => {
+                    let response = core.client_left(id);
+                    return self.write_client_response(core, response, true).await;
+                }
+                // An attempt that has begun may still be answered; no other begins.
+                ClientNews::Unknown => {
+                    if let Some(refusal) = core.refuse_unsent(id) {
+                        break refusal;
+                    }
+                }
             }
         };
         let close = self.closes_after_response(core, table, last);
@@ -363,8 +379,11 @@
             write_all(&mut self.stream, &self.out).await?;
             write_all(&mut self.stream, separate_body).await
         };
-        let written = timeout(RESPONSE_WRITE_TIMEOUT, write).await;
-        matches!(written, Ok(Ok(()))) && !close
+        let written = matches!(timeout(RESPONSE_WRITE_TIMEOUT, write).await, Ok(Ok(())));
+        if written {
+            self.input.presence().set_seen();
+        }
+        written && !close
     }
 
     /// Closes the connection: first the sending side, then, after input was read for a bounded time, the rest, as a
--- a/limeway/src/clients/input.rs
+++ b/limeway/src/clients/input.rs
@@ -6,6 +6,8 @@
 
 use crate::clients::arrivals::Arrivals;
 use crate::clients::client_table::UNRESERVED_BYTES;
+use crate::clients::presence::ClientPresence;
+use crate::network::connection::{self, SocketState};
 use crate::network::http;
 use crate::network::memory_pool::{MemoryPool, MemoryReservation};
 use crate::network::stream_io::retry_interrupted;
@@ -21,7 +23,7 @@
 const MAX_REQUEST: usize = http::MAX_HEAD + http::MAX_REQUEST_BODY;
 /// Most bytes that are held for a connection. That a client has left shows only behind all that it has sent, so more
 /// is read than one request needs.
-const MAX_READ_AHEAD: usize = MAX_REQUEST + 1024 * 1024;
+const MAX_READ_AHEAD: usize = MAX_REQUEST + 4 * 1024 * 1024;
 /// Least capacity of a buffer that is not empty, in bytes: enough for most requests.
 const MIN_CAPACITY: usize = 512;
 /// A buffer is replaced by a smaller one once it is this many times as large as its content.
@@ -35,6 +37,15 @@
 /// After a shorter pause between two reads, whether input was there already is not asked for.
 const NEGLIGIBLE_PAUSE: Duration = Duration::from_millis(1);
 
+/// News of a client whose request is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientNews {
+    /// It has left.
+    Left,
+    /// Whether it has left cannot be told at present.
+    Unknown,
+}
+
 /// Received bytes that have not been consumed.
 pub struct ClientInput {
     bytes: Vec<u8>,
@@ -46,21 +57,29 @@
     arrivals: Arrivals,
     /// Since when input may have been in the kernel: set while no more may be held or none is read.
     unread_since: Option<Instant>,
+    presence: Rc<ClientPresence>,
 }
 
 impl ClientInput {
-    /// Starts without any bytes; what arrived first has waited for at most `waited`.
+    /// Starts without any bytes; what arrived first, or the connection itself, has waited for at most `waited`.
     pub fn new(waited: Duration, memory: Rc<MemoryPool>) -> Self {
+        let connected_at = before(Instant::now(), waited);
         ClientInput {
             bytes: Vec::new(),
             consumed: 0,
             memory,
             reserved: None,
             arrivals: Arrivals::default(),
-            unread_since: Some(before(Instant::now(), waited)),
+            unread_since: Some(connected_at),
+            presence: ClientPresence::seen_at(connected_at),
         }
     }
 
+    /// Whether the client is known to be connected.
+    pub fn presence(&self) -> &Rc<ClientPresence> {
+        &self.presence
+    }
+
     /// The bytes.
     pub fn unconsumed(&self) -> &[u8] {
         &self.bytes[self.consumed..]
@@ -101,7 +120,9 @@
 
     /// Records that nothing is read for a while; what is there already has waited for at most `max_wait`.
     pub fn pause(&mut self, max_wait: Duration) {
-        self.unread_since.get_or_insert_with(|| before(Instant::now(), max_wait));
+        let since = before(Instant::now(), max_wait);
+        self.unread_since.get_or_insert(since);
+        self.presence.set_unwatched(since);
     }
 
     /// Memory to be added before a further byte can be held; `None` if there is room.
@@ -156,23 +177,37 @@
         }
         // The runtime polls the sockets before this task runs on.
         yield_now().await;
-        let ended = timeout(Duration::ZERO, has_ended(stream)).await;
-        ended.unwrap_or(false)
+        self.has_left_behind_unread_input(stream).await
     }
 
-    /// Reads ahead while a request is open; returns once the client has left.
-    pub async fn read_until_client_leaves(&mut self, stream: &TcpStream, max_wait: impl Fn() -> Duration) {
+    /// Reads ahead while a request is open; returns once the client has left, or now and then while that cannot be told.
+    pub async fn watch_client(&mut self, stream: &TcpStream, max_wait: impl Fn() -> Duration) -> ClientNews {
         loop {
             if self.has_room() {
                 if !self.read(stream, &max_wait).await {
-                    return;
-                }
-            } else {
-                sleep(DEPARTURE_CHECK_INTERVAL).await;
-                if has_ended(stream).await {
-                    return;
+                    return ClientNews::Left;
                 }
+                continue;
+            }
+            sleep(DEPARTURE_CHECK_INTERVAL).await;
+            if self.has_left_behind_unread_input(stream).await {
+                return ClientNews::Left;
             }
+            if !self.presence.is_known() {
+                return ClientNews::Unknown;
+            }
+        }
+    }
+
+    /// Whether the client has left, as far as that shows without reading.
+    async fn has_left_behind_unread_input(&self, stream: &TcpStream) -> bool {
+        match connection::socket_state(stream) {
+            SocketState::NothingPending => {
+                self.presence.set_seen();
+                false
+            }
+            SocketState::DataPending => timeout(Duration::ZERO, has_ended(stream)).await.unwrap_or(false),
+            SocketState::EndOfInput | SocketState::Failed => true,
         }
     }
 
@@ -254,12 +289,17 @@
     ) -> io::Result<usize> {
         let mut part = [0; READ_SIZE];
         let room = self.room().min(READ_SIZE);
-        let length = retry_interrupted(|| read(&mut part[..room]))?;
+        let read = retry_interrupted(|| read(&mut part[..room]));
+        if read.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+            self.presence.set_watched();
+        }
+        let length = read?;
         if length == 0 {
             return Ok(0);
         }
         let now = Instant::now();
         let latest = before(now, max_wait);
+        self.presence.set_unwatched(latest);
         let at = self.unread_since.map_or(latest, |since| since.min(latest));
         self.arrivals.record(length, at, self.unconsumed().len());
         self.prepare_capacity(length);
--- a/limeway/src/clients/request.rs
+++ b/limeway/src/clients/request.rs
@@ -50,6 +50,9 @@
     pub const SHUTTING_DOWN: Rejection = Rejection { status: 503, body: "this limiter is ending\n" };
     /// The client closed its sending side before the request was submitted.
     pub const CLIENT_LEFT: Rejection = Rejection { status: 503, body: "the client has ended its sending\n" };
+    /// There is more unread input than may be held, so that it cannot be told whether the client has left.
+    pub const TOO_MUCH_AHEAD: Rejection =
+        Rejection { status: 503, body: "more is sent ahead on this connection than can be held\n" };
     /// A request with the same id is open, and their responses could not be told apart.
     pub const ID_IN_USE: Rejection = Rejection { status: 409, body: "a request with this Req-Id is open\n" };
     /// The request was not received completely in time.
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -3,6 +3,7 @@
 //!
 //! The gateway alone decides on policy; what it asks for is done, within the permissions of the settings.
 
+use crate::clients::presence::ClientPresence;
 use crate::clock::Clock;
 use crate::config::{Config, ServiceAddresses};
 use crate::discovery::catalog::ServerList;
@@ -82,6 +83,8 @@
     /// Takes the final response to the client's connection; `None` once it is sent.
     responder: Option<oneshot::Sender<ClientResponse>>,
     forwarded: Rc<ForwardedRequest>,
+    /// Whether its client is known to be connected.
+    presence: Rc<ClientPresence>,
     deadline: Micros,
     attempts: Vec<Attempt>,
 }
@@ -322,7 +325,8 @@
         let allow = &self.config.host_settings.settings.permissions;
         let not_sent = |number: usize, request_done: bool| {
             self.log_limiter.warn(format_args!(
-                "attempt {number} of request {id} not sent: the request is finished or the permissions do not allow it"
+                "attempt {number} of request {id} not sent: the request is finished, its client may have left, or the \
+                 permissions do not allow it"
             ));
             Event::Outcome(Outcome {
                 id,
@@ -341,7 +345,8 @@
         let number = open.attempts.len();
         let finished = open.responder.is_none() || now >= open.deadline;
         let forbidden_parallel = !allow.parallel_attempts && open.attempts.iter().any(|a| a.in_flight);
-        if finished || forbidden_parallel || number >= allow.max_attempts as usize {
+        let may_have_left = !open.presence.is_known();
+        if finished || may_have_left || forbidden_parallel || number >= allow.max_attempts as usize {
             let request_done = open.responder.is_none();
             open.attempts.push(Attempt {
                 server,
@@ -363,11 +368,13 @@
             in_flight: true,
         });
         let (request, number, request_deadline) = (open.forwarded.clone(), number as u32, open.deadline);
+        let presence = open.presence.clone();
         if timeout > 0 && now + timeout < request_deadline {
             self.set_timer(state, now + timeout, TimerKind::AttemptTimeout(id, number));
         }
         let deadline = if timeout > 0 { request_deadline.min(now + timeout) } else { request_deadline };
-        self.attempt_runner.start(AttemptSpec { id, number, server, request, deadline, may_write }, stopped);
+        let spec = AttemptSpec { id, number, server, request, presence, deadline, may_write };
+        self.attempt_runner.start(spec, stopped);
     }
 
     /// Submits a client's request to the gateway. Returns the id assigned to it and the channel for its response, or
@@ -377,6 +384,7 @@
         client_id: &[u8],
         mut request: ClientRequest,
         forwarded: ForwardedRequest,
+        presence: Rc<ClientPresence>,
     ) -> Option<(RequestId, oneshot::Receiver<ClientResponse>)> {
         let (responder, response) = oneshot::channel();
         let mut state = self.state.borrow_mut();
@@ -395,6 +403,7 @@
             client_id,
             responder: Some(responder),
             forwarded: Rc::new(forwarded),
+            presence,
             deadline,
             attempts: Vec::new(),
         };
@@ -423,6 +432,13 @@
         }
     }
 
+    /// Gives up a request of which no attempt has been made, as its client may have left. Returns the response to write,
+    /// or `None` if there was an attempt.
+    pub fn refuse_unsent(self: &Rc<Self>, id: RequestId) -> Option<ClientResponse> {
+        let unsent = self.state.borrow().open.get(&id).is_some_and(|open| open.attempts.is_empty());
+        unsent.then(|| self.client_left(id))
+    }
+
     /// Handles the end of an attempt, whose connection is closed or back in its pool by now.
     fn on_attempt_ended(self: &Rc<Self>, id: RequestId, number: u32, result: AttemptResult) {
         let AttemptResult { status, response, load } = result;
--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -1,5 +1,6 @@
 //! Sends attempts to servers and reports the outcome of each.
 
+use crate::clients::presence::ClientPresence;
 use crate::clock::Clock;
 use crate::log_limiter::LogLimiter;
 use crate::network::connection::{ExchangeError, OutboundConnection, Response, ResponseLimits, Surplus};
@@ -38,6 +39,8 @@
     pub server: ServerId,
     /// The request to send.
     pub request: Rc<ForwardedRequest>,
+    /// Whether the client is known to be connected: if not, the request is not written.
+    pub presence: Rc<ClientPresence>,
     /// Time by which the server has to answer, on the gateway's clock.
     pub deadline: Micros,
     /// Cleared when the request has ended or the attempt has been stopped: the request is not written after that.
@@ -127,7 +130,7 @@
         };
         // While the connection was established, the client may have left, the attempt may have been stopped, or the
         // server may have been drained or replaced. Nothing is sent then; a connection that is still valid is kept.
-        if !spec.may_write.get() {
+        if !spec.may_write.get() || !spec.presence.is_known() {
             pools.give_back(spec.server, conn);
             return Status::NotSent.into();
         }
--- a/limeway/tests/departures.rs
+++ b/limeway/tests/departures.rs
@@ -3,6 +3,7 @@
 
 mod common;
 use common::*;
+use std::io::Write;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 
@@ -180,3 +181,123 @@
         assert_eq!(sent, [Some("stays".to_owned())], "{how:?}");
     }
 }
+
+/// A keyed request with a body of this length.
+fn keyed_request(id: &str, body_length: usize) -> String {
+    let text = request("book", id, "team", 20_000)
+        .replace("Content-Length: 5", &format!("Content-Length: {body_length}"));
+    text.strip_suffix("hello").expect("a request of class book has a body").to_owned()
+        + &"b".repeat(body_length)
+}
+
+/// Sends requests until neither the limiter nor the systems on the way take in more, so that a disconnect is behind
+/// input that the limiter has not read.
+fn fill_with_requests(limiter: &Limiter, client: &Client, body_length: usize) {
+    let mut stream = &client.stream;
+    stream.set_nonblocking(true).expect("it is set");
+    let (mut number, mut unsent, mut at) = (0, Vec::new(), 0);
+    let mut refused = false;
+    loop {
+        if at == unsent.len() {
+            (unsent, at) = (keyed_request(&format!("ahead-{number}"), body_length).into_bytes(), 0);
+            number += 1;
+        }
+        match stream.write(&unsent[at..]) {
+            Ok(length) => (at, refused) = (at + length, false),
+            Err(_) if refused => break,
+            Err(_) => {
+                wait_two_loop_iterations(limiter);
+                refused = true;
+            }
+        }
+    }
+    stream.set_nonblocking(false).expect("it is set");
+}
+
+/// Guards against forwarding requests of a client that sent much at once and left: the end of its input is behind what
+/// the limiter may hold, and does not show. The server becomes available only after the client has left.
+#[test]
+fn a_request_whose_client_disconnected_behind_unread_input_is_not_forwarded() {
+    for (memory_mb, body_length) in [(32, 64 * 1024), (32, 300), (192, 64 * 1024), (192, 4_000)] {
+        for how in [Disconnect::Close, Disconnect::HalfClose, Disconnect::Reset] {
+            let (server, counter) = (stand_in(serve_ok), prompt_counter_stand_in());
+            let (discovery, updates) =
+                discovery_stand_in(server_list(1, true, &[server_row("s-0", server.address, "DRAINING")]));
+            let setup = LimiterSetup::new(&[&server], &counter);
+            let mut limiter = LimiterSetup { memory_mb, discovery: Some(discovery.address), ..setup }.start();
+            let client = limiter.client();
+            fill_with_requests(&limiter, &client, body_length);
+            disconnect(&client, how);
+            drop(client);
+            // An attempt may still begin up to 0.1 s after its client has disconnected; this sleep orders no events.
+            std::thread::sleep(std::time::Duration::from_millis(120));
+            updates
+                .send(server_list(2, false, &[server_row("s-0", server.address, "SERVING")]))
+                .expect("discovery stand-in is running");
+            assert_eq!(limiter.client().exchange(&request("look", "stays", "team", 20_000)).status(), 200);
+            limiter.terminate();
+            assert!(limiter.wait_for_exit().success());
+            let sent: Vec<_> =
+                server.requests.try_iter().map(|r| r.1.header("req-id").map(str::to_owned)).collect();
+            assert_eq!(
+                sent,
+                [Some("stays".to_owned())],
+                "{how:?}, bodies of {body_length} bytes, {memory_mb} MB"
+            );
+        }
+    }
+}
+
+/// Appends the ids of the requests that a server has received.
+fn take_ids(server: &StandIn, ids: &mut Vec<String>) {
+    ids.extend(
+        server.requests.try_iter().filter_map(|(_, message)| message.header("req-id").map(str::to_owned)),
+    );
+}
+
+/// Guards against a further attempt for such a client: its first attempt was held by a server and then declined.
+#[test]
+fn a_request_whose_client_disconnected_behind_unread_input_is_not_retried() {
+    for how in [Disconnect::Close, Disconnect::HalfClose] {
+        let (release, wait) = channel::<()>();
+        let wait = Arc::new(Mutex::new(wait));
+        let declining_server = || {
+            let wait = wait.clone();
+            stand_in(move |number, message, stream| {
+                if message.header("req-id") == Some("stays") {
+                    return serve_ok(number, message, stream);
+                }
+                let _ = wait.lock().expect("lock is not poisoned").recv_timeout(TIMEOUT);
+                write_response(stream, "503 Service Unavailable\r\nSrv-Declined: 1", "");
+            })
+        };
+        let (server_0, server_1, counter) =
+            (declining_server(), declining_server(), prompt_counter_stand_in());
+        let setup = LimiterSetup::new(&[&server_0, &server_1], &counter);
+        let mut limiter = LimiterSetup { memory_mb: 32, ..setup }.start();
+        let mut client = limiter.client();
+        client.write(&request("look", "left", "team", 20_000));
+        let mut ids = Vec::new();
+        let end = std::time::Instant::now() + TIMEOUT;
+        while ids.is_empty() {
+            assert!(std::time::Instant::now() < end, "no attempt");
+            std::thread::yield_now();
+            take_ids(&server_0, &mut ids);
+            take_ids(&server_1, &mut ids);
+        }
+        fill_with_requests(&limiter, &client, 64 * 1024);
+        disconnect(&client, how);
+        drop(client);
+        // An attempt may still begin up to 0.1 s after its client has disconnected; this sleep orders no events.
+        std::thread::sleep(std::time::Duration::from_millis(120));
+        release.send(()).expect("stand-in is running");
+        drop(release);
+        wait_two_loop_iterations(&limiter);
+        assert_eq!(limiter.client().exchange(&request("look", "stays", "team", 20_000)).status(), 200);
+        limiter.terminate();
+        assert!(limiter.wait_for_exit().success());
+        take_ids(&server_0, &mut ids);
+        take_ids(&server_1, &mut ids);
+        assert_eq!(ids, ["left", "stays"], "{how:?}");
+    }
+}
--- a/limeway/tests/pipelining.rs
+++ b/limeway/tests/pipelining.rs
@@ -93,3 +93,39 @@
         check_pipelining(at_once, body_length);
     }
 }
+
+/// Guards against losing requests of a client that sends more ahead than may be held, and stays: each is answered in its
+/// turn, served or refused.
+#[test]
+fn requests_beyond_what_may_be_held_are_served_or_refused_in_order() {
+    const AT_ONCE: usize = 200;
+    const BODY_LENGTH: usize = 64 * 1024;
+    let respond = |_: usize, message: &Message, stream: &mut std::net::TcpStream| {
+        write_response_at_once(stream, "200 OK", message.header("req-id").unwrap_or_default());
+    };
+    let (server, counter) = (stand_in(respond), prompt_counter_stand_in());
+    let limiter = LimiterSetup { memory_mb: 32, ..LimiterSetup::new(&[&server], &counter) }.start();
+    let mut client = limiter.client();
+    let mut stream = client.stream.try_clone().expect("stream is cloned");
+    let writer = thread::spawn(move || {
+        for n in 0..AT_ONCE {
+            let _ = stream.write_all(numbered_request(n, BODY_LENGTH).0.as_bytes());
+        }
+    });
+    let mut served = 0;
+    for n in 0..AT_ONCE {
+        let response = client.read_response();
+        let response = response.unwrap_or_else(|| panic!("request {n} of {AT_ONCE} gets a response"));
+        if response.status() == 200 {
+            assert_eq!(response.body, format!("{n:06}"), "the response to request {n}");
+            served += 1;
+        } else {
+            let is_refusal = matches!(response.status(), 429 | 503);
+            assert!(is_refusal && response.header("retry-after").is_some(), "request {n}: {response:?}");
+        }
+    }
+    assert!(served > 0, "no request is served");
+    writer.join().expect("the writer ends");
+    let peak = limiter.peak_memory_mb();
+    assert!(peak < 32, "{peak} MB");
+}
--- a/limeway/tests/unit/input.rs
+++ b/limeway/tests/unit/input.rs
@@ -114,7 +114,8 @@
     });
     assert!(read_until(&mut input, &stream, MAX_READ_AHEAD));
     let client = writer.join().expect("it writes");
-    let departure = input.read_until_client_leaves(&stream, || Duration::ZERO);
+    let departure =
+        async { while input.watch_client(&stream, || Duration::ZERO).await != ClientNews::Left {} };
     timeout(Duration::from_secs(10), departure).await.expect("the departure is noticed");
     assert!(input.client_has_left(&stream, Duration::ZERO).await);
     drop(client);
