--- a/limeway/tests/response_lengths.rs
+++ b/limeway/tests/response_lengths.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// The same, where what has been read ends with the body: the rest of it is still in the system.
+#[test]
+fn the_rest_of_a_response_that_has_not_been_read_yet_is_seen() {
+    for truncated_length in [256, 512, 1_024, 2_048, 4_096, 5_120, 8_192, 9_216, 13_312, 16_384] {
+        let (server, _) = server_that_sends(move |_| {
+            let head = "HTTP/1.1 200 OK\r\nContent-Length: 00000\r\n\r\n";
+            let length = truncated_length - head.len();
+            head.replace("00000", &format!("{length:05}")) + &"b".repeat(length + 3)
+        });
+        let counter = counter_stand_in();
+        let limiter = LimiterSetup::new(&[&server], &counter).start();
+        let response = limiter.client().exchange(&request("once", "cut", "team", 20_000));
+        assert_eq!(response.status(), 502, "the response is truncated after {truncated_length} bytes");
+    }
+}
+
 /// Guards against losing such a request where another server can still serve it.
 #[test]
 fn after_a_response_longer_than_its_framing_says_a_safe_request_is_served_by_another_server() {
--- a/limeway/tests/unit/response_memory.rs
+++ b/limeway/tests/unit/response_memory.rs
@@ -3,7 +3,10 @@
 use super::*;
 use std::future::{poll_fn, Future};
 use std::task::Poll;
+use tokio::time::timeout;
 
+/// Time-out of every wait.
+const TIMEOUT: Duration = Duration::from_secs(20);
 const POOL_BYTES: usize = 256 * 1024;
 
 fn allowance(memory: &Rc<ResponseMemory>) -> ResponseAllowance {
@@ -35,8 +38,8 @@
         oldest.evicted().await;
         drop(oldest);
     };
-    let (growth, ()) = tokio::join!(newer.grow_to(POOL_BYTES / 4 * 3), give_up);
-    assert_eq!(growth, Ok(()));
+    let growth = async { tokio::join!(newer.grow_to(POOL_BYTES / 4 * 3), give_up) };
+    assert_eq!(timeout(TIMEOUT, growth).await, Ok((Ok(()), ())));
     assert!(newer.bytes() >= POOL_BYTES / 4 * 3);
 }
 
@@ -49,7 +52,7 @@
     assert_eq!(oldest.grow_to(POOL_BYTES / 2).await, Ok(()));
     assert_eq!(newer.grow_to(POOL_BYTES / 2).await, Ok(()));
     std::thread::sleep(MIN_EVICTION_AGE);
-    assert_eq!(oldest.grow_to(POOL_BYTES).await, Err(ResponseEvicted));
+    assert_eq!(timeout(TIMEOUT, oldest.grow_to(POOL_BYTES)).await, Ok(Err(ResponseEvicted)));
     drop(oldest);
     assert_eq!(newer.grow_to(POOL_BYTES - UNRESERVED_BYTES).await, Ok(()));
 }
