Split the core: open requests and the timer queue have modules of their own

Nothing that the limiter does changes. Number of unanswered requests is that of the client-supplied ids in use, which end together with the responder.

--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -3,6 +3,11 @@
 //!
 //! The gateway alone decides on policy; what it asks for is done, within the permissions of the settings.
 
+mod open_requests;
+mod timer_queue;
+
+pub use open_requests::ClientResponse;
+
 use crate::clients::presence::ClientPresence;
 use crate::clock::Clock;
 use crate::config::{Config, ServiceAddresses};
@@ -12,18 +17,19 @@
 use crate::network::connection::ResponseLimits;
 use crate::network::descriptors::DescriptorBudget;
 use crate::network::loop_lag::LoopLag;
-use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent, ServedResponse};
+use crate::network::network_event::{AttemptResult, EventSink, NetworkEvent};
 use crate::network::response_memory::ResponseMemory;
 use crate::upstream::attempts::{AttemptRunner, AttemptSpec, ForwardedRequest};
 use crate::upstream::servers::ServerPools;
 use crate::{counter, peers};
+use open_requests::{Attempt, OpenRequest, OpenRequests};
 use pondgw::*;
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use timer_queue::{TimerKind, TimerQueue};
 use tokio::sync::{oneshot, Notify};
 
 /// A request's attempts are stopped this long before its deadline. The gateway normally settles a request some 10 ms
@@ -42,74 +48,13 @@
 /// so that the client can still read the response. It is also the least time that such a request gets.
 const SHUTDOWN_MARGIN: Micros = 100_000;
 
-/// Timers of finished requests are purged once there are more timers than this plus four for each open request.
-const TIMER_PURGE_THRESHOLD: usize = 1_024;
-
-/// The final response to a client's request.
-#[derive(Debug)]
-pub enum ClientResponse {
-    /// 200 from a server.
-    Served(ServedResponse),
-    /// 429: sending the request again does no harm; the time for Retry-After, 0 for none.
-    Refused(Micros),
-    /// 502: nothing is said about whether the request has run.
-    Failed,
-    /// 504: the deadline passed without a decision of the gateway.
-    DeadlineExceeded,
-}
-
-struct Attempt {
-    server: ServerId,
-    started: Micros,
-    /// Ends the attempt with a status; `None` once used, or if the attempt is not running.
-    stop: Option<oneshot::Sender<Status>>,
-    /// Whether the request may still be written to the server.
-    may_write: Rc<Cell<bool>>,
-    in_flight: bool,
-}
-
-impl Attempt {
-    /// Ends the attempt with this status; false if it had ended before.
-    fn end(&mut self, status: Status) -> bool {
-        self.may_write.set(false);
-        self.stop.take().is_some_and(|stop| stop.send(status).is_ok())
-    }
-}
-
-/// A request that is not answered yet, or that still has an attempt in flight.
-struct OpenRequest {
-    /// The client's own id for the request (Req-Id).
-    client_id: Rc<[u8]>,
-    /// Takes the final response to the client's connection; `None` once it is sent.
-    responder: Option<oneshot::Sender<ClientResponse>>,
-    forwarded: Rc<ForwardedRequest>,
-    /// Whether its client is known to be connected.
-    presence: Rc<ClientPresence>,
-    deadline: Micros,
-    attempts: Vec<Attempt>,
-}
-
-/// What a timer is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum TimerKind {
-    /// A timer of the gateway, with its token.
-    Gateway(u64),
-    /// The timeout of an attempt.
-    AttemptTimeout(RequestId, u32),
-    /// The deadline of a request, less `DEADLINE_MARGIN`.
-    Deadline(RequestId),
-}
-
 /// The gateway, with the requests and timers that it knows of.
 struct State {
     gateway: Gateway,
     events: VecDeque<Event>,
     actions: Vec<Action>,
-    open: HashMap<RequestId, OpenRequest>,
-    /// Client-supplied ids of the requests that are not answered yet.
-    client_ids: HashSet<Rc<[u8]>>,
-    last_id: RequestId,
-    timers: BinaryHeap<Reverse<(Micros, TimerKind)>>,
+    open: OpenRequests,
+    timers: TimerQueue,
 }
 
 /// State shared by all tasks.
@@ -222,10 +167,8 @@
                 gateway,
                 events: VecDeque::new(),
                 actions: Vec::new(),
-                open: HashMap::new(),
-                client_ids: HashSet::new(),
-                last_id: 0,
-                timers: BinaryHeap::new(),
+                open: OpenRequests::default(),
+                timers: TimerQueue::default(),
             }),
             timer_changed: Notify::new(),
             config,
@@ -298,11 +241,13 @@
         match action {
             Action::Send { id, server, timeout } => self.start_attempt(state, id, server, timeout),
             Action::Cancel { id, attempt } => {
-                let attempt = state.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
+                let attempt = state.open.attempt_mut(id, attempt);
                 attempt.map(|a| a.end(Status::Cancelled));
             }
-            Action::Refuse { id, retry_after } => state.respond(id, ClientResponse::Refused(retry_after)),
-            Action::Fail { id } => state.respond(id, ClientResponse::Failed),
+            Action::Refuse { id, retry_after } => {
+                state.open.respond(id, ClientResponse::Refused(retry_after))
+            }
+            Action::Fail { id } => state.open.respond(id, ClientResponse::Failed),
             Action::Timer { at, token } => self.set_timer(state, at, TimerKind::Gateway(token)),
             Action::Count { name, amount, ttl } => match &self.counter {
                 Some(counter) => counter.call(name, amount, ttl),
@@ -338,7 +283,7 @@
                 load: LoadReport::default(),
             })
         };
-        let Some(open) = state.open.get_mut(&id) else {
+        let Some(open) = state.open.get_mut(id) else {
             state.events.push_back(not_sent(0, true));
             return;
         };
@@ -389,27 +334,18 @@
         let (responder, response) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        if state.client_ids.contains(client_id) {
-            return None;
-        }
-        let client_id: Rc<[u8]> = client_id.into();
-        state.client_ids.insert(client_id.clone());
-        // The gateway needs ids that are never reused, which client-supplied ids are not guaranteed to be.
-        state.last_id += 1;
-        request.id = state.last_id;
         request.time_left = self.limit_to_shutdown(request.time_left);
         let deadline = self.clock.now() + request.time_left;
-        let open = OpenRequest {
-            client_id,
+        let id = state.open.add(OpenRequest {
+            client_id: client_id.into(),
             responder: Some(responder),
             forwarded: Rc::new(forwarded),
             presence,
             deadline,
             attempts: Vec::new(),
-        };
-        state.open.insert(request.id, open);
-        self.set_timer(state, deadline.saturating_sub(DEADLINE_MARGIN), TimerKind::Deadline(request.id));
-        let id = request.id;
+        })?;
+        request.id = id;
+        self.set_timer(state, deadline.saturating_sub(DEADLINE_MARGIN), TimerKind::Deadline(id));
         state.events.push_back(Event::Request(request));
         self.process_events(state);
         Some((id, response))
@@ -419,9 +355,9 @@
     /// whether the client has left or has closed only its sending side and still reads.
     pub fn client_left(self: &Rc<Self>, id: RequestId) -> ClientResponse {
         let mut state = self.state.borrow_mut();
-        let never_sent = state.open.get(&id).is_some_and(|open| open.attempts.is_empty());
-        if state.take_responder(id).is_some() {
-            state.remove_if_done(id);
+        let never_sent = state.open.get(id).is_some_and(|open| open.attempts.is_empty());
+        if state.open.take_responder(id).is_some() {
+            state.open.remove_if_done(id);
             state.events.push_back(Event::ClientGone { id });
             self.process_events(&mut state);
         }
@@ -435,7 +371,7 @@
     /// Gives up a request of which no attempt has been made, as its client may have left. Returns the response to write,
     /// or `None` if there was an attempt.
     pub fn refuse_unsent(self: &Rc<Self>, id: RequestId) -> Option<ClientResponse> {
-        let unsent = self.state.borrow().open.get(&id).is_some_and(|open| open.attempts.is_empty());
+        let unsent = self.state.borrow().open.get(id).is_some_and(|open| open.attempts.is_empty());
         unsent.then(|| self.client_left(id))
     }
 
@@ -444,8 +380,7 @@
         let AttemptResult { status, response, load } = result;
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let Some(open) = state.open.get_mut(&id) else { return };
-        let Some(attempt) = open.attempts.get_mut(number as usize) else { return };
+        let Some(attempt) = state.open.attempt_mut(id, number) else { return };
         attempt.in_flight = false;
         attempt.stop = None;
         let (server, latency) = (attempt.server, self.clock.now().saturating_sub(attempt.started));
@@ -454,12 +389,12 @@
         );
         if let Some(response) = response {
             // Only the first successful response goes to the client; a later one is dropped.
-            if let Some(responder) = state.take_responder(id) {
+            if let Some(responder) = state.open.take_responder(id) {
                 let _ = responder.send(ClientResponse::Served(response));
             }
         }
-        let request_done = state.open.get(&id).is_none_or(|o| o.responder.is_none());
-        state.remove_if_done(id);
+        let request_done = state.open.get(id).is_none_or(|o| o.responder.is_none());
+        state.open.remove_if_done(id);
         let outcome = Outcome { id, attempt: number, server, status, latency, request_done, load };
         state.events.push_back(Event::Outcome(outcome));
         self.process_events(state);
@@ -467,21 +402,13 @@
 
     /// Number of requests that are not answered yet.
     pub fn unanswered(&self) -> usize {
-        self.state.borrow().open.values().filter(|o| o.responder.is_some()).count()
+        self.state.borrow().open.unanswered()
     }
 
     fn set_timer(&self, state: &mut State, at: Micros, kind: TimerKind) {
-        // Without the purge, timers of finished requests would stay until the requests' deadlines, up to minutes away.
-        if state.timers.len() > TIMER_PURGE_THRESHOLD + 4 * state.open.len() {
-            let open = &state.open;
-            state.timers.retain(|Reverse((_, kind))| match kind {
-                TimerKind::Gateway(_) => true,
-                TimerKind::AttemptTimeout(id, _) | TimerKind::Deadline(id) => open.contains_key(id),
-            });
-        }
-        let earliest = state.timers.peek().is_none_or(|Reverse((first, _))| at < *first);
-        state.timers.push(Reverse((at, kind)));
-        if earliest {
+        let State { open, timers, .. } = state;
+        timers.purge(open.len(), |id| open.get(id).is_some());
+        if timers.push(at, kind) {
             self.timer_changed.notify_one();
         }
     }
@@ -491,7 +418,7 @@
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
         loop {
-            let next = self.state.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let next = self.state.borrow().timers.earliest();
             let at =
                 next.map_or_else(|| Instant::now() + Duration::from_secs(1), |at| self.clock.instant(at));
             sleep.as_mut().reset(at.into());
@@ -506,19 +433,14 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let now = self.clock.now();
-        while let Some(&Reverse((at, kind))) = state.timers.peek() {
-            if at > now {
-                break;
-            }
-            state.timers.pop();
+        while let Some(kind) = state.timers.pop_due(now) {
             match kind {
                 TimerKind::Gateway(token) => {
                     state.events.push_back(Event::Timer { token });
                     self.process_events(state);
                 }
                 TimerKind::AttemptTimeout(id, number) => {
-                    let open = state.open.get_mut(&id);
-                    let attempt = open.and_then(|o| o.attempts.get_mut(number as usize));
+                    let attempt = state.open.attempt_mut(id, number);
                     attempt.map(|a| a.end(Status::Timeout));
                 }
                 TimerKind::Deadline(id) => self.on_deadline(state, id, now),
@@ -529,7 +451,7 @@
     /// Handles a deadline that is about to pass. Attempts in flight time out first, which lets the gateway make its
     /// final decision; if it makes none, the request fails here.
     fn on_deadline(self: &Rc<Self>, state: &mut State, id: RequestId, now: Micros) {
-        let Some(open) = state.open.get_mut(&id) else { return };
+        let Some(open) = state.open.get_mut(id) else { return };
         let mut stopped = false;
         for attempt in &mut open.attempts {
             stopped |= attempt.end(Status::Timeout);
@@ -543,35 +465,8 @@
         self.log_limiter.warn(format_args!(
             "request {id}: deadline reached without a decision of the gateway; answering 504"
         ));
-        state.respond(id, ClientResponse::DeadlineExceeded);
+        state.open.respond(id, ClientResponse::DeadlineExceeded);
         state.events.push_back(Event::ClientGone { id });
         self.process_events(state);
     }
 }
-
-impl State {
-    fn respond(&mut self, id: RequestId, response: ClientResponse) {
-        if let Some(responder) = self.take_responder(id) {
-            let _ = responder.send(response);
-        }
-        self.remove_if_done(id);
-    }
-
-    /// Takes the channel for the request's response, which can be done once. Afterwards its client-supplied id may be
-    /// used again, and none of its attempts is written any more.
-    fn take_responder(&mut self, id: RequestId) -> Option<oneshot::Sender<ClientResponse>> {
-        let open = self.open.get_mut(&id)?;
-        let responder = open.responder.take()?;
-        open.attempts.iter().for_each(|attempt| attempt.may_write.set(false));
-        self.client_ids.remove(&open.client_id);
-        Some(responder)
-    }
-
-    /// Removes a request that is answered and has no attempt in flight.
-    fn remove_if_done(&mut self, id: RequestId) {
-        let done = |o: &OpenRequest| o.responder.is_none() && o.attempts.iter().all(|a| !a.in_flight);
-        if self.open.get(&id).is_some_and(done) {
-            self.open.remove(&id);
-        }
-    }
-}
