Share one rule for writing a small body behind its head

Attempts (MAX_COPIED_BODY) and client responses (UNRESERVED_BYTES) each had the rule that a body of up to 4 KiB goes out with the head in one piece and a larger one from where it is. It is stream_io::write_message now. Nothing that goes over the wire changes.

--- a/limeway/src/clients/client_connection.rs
+++ b/limeway/src/clients/client_connection.rs
@@ -7,7 +7,7 @@
 use crate::network::connection;
 use crate::network::http::{self, BodyReader, Framing, Head};
 use crate::network::memory_pool::{MemoryPool, MemoryReservation};
-use crate::network::stream_io::{read_some, write_all};
+use crate::network::stream_io::{read_some, write_message};
 use crate::upstream::attempts::ForwardedRequest;
 
 use pondgw::{ClientRequest, Micros};
@@ -368,17 +368,7 @@
         self.input.pause(core.lag.max_wait());
         self.out.clear();
         http::write_response_head(&mut self.out, status, headers, close, body.len());
-        // A small body goes out with the head; a large one is not copied.
-        let separate_body = if body.len() <= UNRESERVED_BYTES {
-            self.out.extend_from_slice(body);
-            &[]
-        } else {
-            body
-        };
-        let write = async {
-            write_all(&mut self.stream, &self.out).await?;
-            write_all(&mut self.stream, separate_body).await
-        };
+        let write = write_message(&mut self.stream, &mut self.out, body);
         let written = matches!(timeout(RESPONSE_WRITE_TIMEOUT, write).await, Ok(Ok(())));
         if written {
             self.input.presence().set_seen();
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -128,7 +128,7 @@
             "POST /v1/count/{name}?add={amount}&ttl_ms={ttl} HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
         );
         debug_assert!(formatted.is_ok(), "writing to memory cannot fail");
-        if call.conn.write(&message, written).await.is_err() {
+        if call.conn.write(message, &[], written).await.is_err() {
             return (Status::ConnectFailed, 0.0);
         }
         let Response { head, body, reusable, .. } = match call.conn.read_response().await {
--- a/limeway/src/discovery/follower.rs
+++ b/limeway/src/discovery/follower.rs
@@ -278,7 +278,7 @@
                 OutboundConnection::connect(core.service_addresses.get().discovery, held, limits).await?
             }
         };
-        conn.write(message.as_bytes(), &Cell::new(false)).await?;
+        conn.write(message.into_bytes(), &[], &Cell::new(false)).await?;
         let Response { head, body, reusable, .. } = conn.read_response().await.map_err(|e| match e {
             ExchangeError::Connection(e) => e,
             e => io::Error::other(format!("{e}; lists of up to {max_bytes} bytes are read")),
--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -4,7 +4,7 @@
 use crate::network::http::{self, BodyReader};
 use crate::network::memory_pool::MemoryReservation;
 use crate::network::response_memory::{ResponseAllowance, ResponseEvicted, ResponseMemory};
-use crate::network::stream_io::{read_some, retry_interrupted, write_all};
+use crate::network::stream_io::{read_some, retry_interrupted, write_message};
 use bytes::{Buf, BufMut, BytesMut};
 use std::cell::Cell;
 use std::fmt;
@@ -208,8 +208,8 @@
     }
 
     /// Writes a request; sets `written` once its last byte is handed to the system.
-    pub async fn write(&mut self, message: &[u8], written: &Cell<bool>) -> io::Result<()> {
-        write_all(&mut self.stream, message).await?;
+    pub async fn write(&mut self, mut head: Vec<u8>, body: &[u8], written: &Cell<bool>) -> io::Result<()> {
+        write_message(&mut self.stream, &mut head, body).await?;
         written.set(true);
         Ok(())
     }
--- a/limeway/src/network/stream_io.rs
+++ b/limeway/src/network/stream_io.rs
@@ -21,6 +21,24 @@
     to.write_all(bytes).await
 }
 
+/// Largest body that is copied behind its head to be written in one piece, in bytes.
+const MAX_COPIED_BODY: usize = 4 * 1024;
+
+/// Writes a head and its body. A small body is appended to the head, so that both are written in one piece; a large one
+/// is written from where it is, as each copy would take memory.
+pub async fn write_message<W: AsyncWrite + Unpin>(
+    to: &mut W,
+    head: &mut Vec<u8>,
+    body: &[u8],
+) -> io::Result<()> {
+    if body.len() <= MAX_COPIED_BODY {
+        head.extend_from_slice(body);
+        return write_all(to, head).await;
+    }
+    write_all(to, head).await?;
+    write_all(to, body).await
+}
+
 /// Makes a system call, and repeats it if a signal interrupts it.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
--- a/limeway/src/upstream/attempts.rs
+++ b/limeway/src/upstream/attempts.rs
@@ -199,10 +199,6 @@
     load
 }
 
-/// Largest body that is copied behind the head to be written in one piece, in bytes. A larger one is written from where it
-/// is, as each attempt would hold a copy.
-const MAX_COPIED_BODY: usize = 4 * 1024;
-
 /// Headers of a server's response that are forwarded to the client: those that describe the body or control caches.
 const FORWARDED_HEADERS: [&str; 7] = [
     "content-type",
@@ -232,8 +228,7 @@
     written: &Cell<bool>,
 ) -> io::Result<()> {
     let mut digits = itoa::Buffer::new();
-    let copied_body = if request.body.len() <= MAX_COPIED_BODY { &request.body[..] } else { &[] };
-    let mut message = Vec::with_capacity(request.head.len() + copied_body.len() + 64);
+    let mut message = Vec::with_capacity(request.head.len() + 64);
     message.extend_from_slice(&request.head);
     message.extend_from_slice(b"Req-Deadline-Ms: ");
     message.extend_from_slice(digits.format((time_left / 1_000).max(1)).as_bytes());
@@ -242,13 +237,7 @@
         message.extend_from_slice(digits.format(request.body.len()).as_bytes());
     }
     message.extend_from_slice(b"\r\n\r\n");
-    message.extend_from_slice(copied_body);
-    if copied_body.len() == request.body.len() {
-        return conn.write(&message, written).await;
-    }
-    conn.write(&message, &Cell::new(false)).await?;
-    drop(message);
-    conn.write(&request.body, written).await
+    conn.write(message, &request.body, written).await
 }
 
 #[cfg(test)]
