--- a/limeway/src/network/connection.rs
+++ b/limeway/src/network/connection.rs
@@ -25,8 +25,10 @@
 const MAX_IDLE_BUFFER: usize = 4 * 1024;
 /// Largest number of bytes taken from the kernel by the first read of a response: enough for most of them.
 const FIRST_READ_SIZE: usize = 1024;
-/// The same for each further read.
-const READ_SIZE: usize = 4 * 1024;
+/// Least number for which there has to be room at each further read.
+const MIN_READ_SIZE: usize = 4 * 1024;
+/// Largest number taken by each further read.
+const MAX_READ_SIZE: usize = 16 * 1024;
 /// Number of bytes behind a response that are looked at: more than the beginning of a status line.
 const SURPLUS_SIZE: usize = 64;
 
@@ -263,11 +265,12 @@
         allowance: &mut ResponseAllowance,
         held: usize,
     ) -> Result<(), ExchangeError> {
-        allowance.grow_to(held + READ_SIZE).await?;
+        allowance.grow_to(held + MIN_READ_SIZE).await?;
+        let length = (allowance.bytes() - held).min(MAX_READ_SIZE);
         tokio::select! {
             biased;
             () = allowance.evicted() => Err(ResponseEvicted.into()),
-            read = timeout(STALL_TIMEOUT, self.read_more(READ_SIZE)) => {
+            read = timeout(STALL_TIMEOUT, self.read_more(length)) => {
                 read.unwrap_or(Err(ExchangeError::InvalidResponse("stalled")))
             }
         }
@@ -276,7 +279,7 @@
     /// Reads the rest of a response that has begun; `None` if it was an interim one.
     async fn read_begun_response(&mut self) -> Result<Option<Response>, ExchangeError> {
         let max_body = self.limits.max_body;
-        let max_bytes = http::MAX_HEAD + max_body + READ_SIZE;
+        let max_bytes = http::MAX_HEAD + max_body + MIN_READ_SIZE;
         let mut allowance = ResponseAllowance::new(&self.limits.memory, max_bytes);
         let head = loop {
             match http::parse_response_head(&self.buffer, max_body)? {
@@ -289,7 +292,7 @@
             return Ok(None);
         }
         if let http::Framing::Length(length) = head.framing {
-            allowance.announce(head.len + length + READ_SIZE);
+            allowance.announce(head.len + length + MIN_READ_SIZE);
         }
         let close_delimited = head.framing == http::Framing::UntilClose;
         let mut body = match (close_delimited, head.status) {
@@ -322,7 +325,7 @@
             }
             let held = head_length + self.buffer.len() + body.bytes.len();
             self.read_more_before_stall(allowance, held).await?;
-            reserve_within(&mut body.bytes, READ_SIZE, allowance.bytes() - head_length);
+            reserve_within(&mut body.bytes, self.buffer.len(), allowance.bytes() - head_length);
         }
     }
 
@@ -341,7 +344,7 @@
                 return Err(http::HttpError::BodyTooLong.into());
             }
             match self.read_more_before_stall(allowance, head_length + body.len()).await {
-                Ok(()) => reserve_within(&mut body, READ_SIZE, allowance.bytes() - head_length),
+                Ok(()) => reserve_within(&mut body, self.buffer.len(), allowance.bytes() - head_length),
                 Err(ExchangeError::Connection(e)) if e.kind() == io::ErrorKind::UnexpectedEof => {
                     return Ok(body);
                 }
