Soak: servers also give too short a length, or send answers that never end

Two of a hundred answers have a length one byte too short, one never ends. Shares of the other faults stay; the draws of a seed change, as each fault is drawn by its share.

--- a/scale/src/soak/server.rs
+++ b/scale/src/soak/server.rs
@@ -19,6 +19,8 @@
 const SERVICE_TIME_MS: std::ops::Range<u64> = 2..30;
 /// Pause before the second part of an answer in two parts, before a second answer, and before a reset.
 const PART_PAUSE: Duration = Duration::from_millis(5);
+/// Length of the pieces of an answer that never ends, in bytes.
+const ENDLESS_PIECE: usize = 4 * 1024;
 /// Time left that is recorded for an attempt without a deadline header: long enough to be a violation.
 const TIME_LEFT_WITHOUT_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -35,6 +37,10 @@
     ServesWithoutLength,
     /// Resets the connection before the last byte of an answer that ends with its connection.
     TruncatesWithoutLength,
+    /// Sends an answer with a length that is one byte too short.
+    GivesTooShortLength,
+    /// Sends an answer that goes on until its connection ends.
+    NeverEnds,
     /// Never answers.
     Hangs,
     /// Declines the request with status 503 and a header that says that it was not executed.
@@ -46,12 +52,14 @@
 }
 
 /// Shares of requests that are not served normally, in percent.
-const FAULTS: [(Behaviour, u32); 8] = [
+const FAULTS: [(Behaviour, u32); 10] = [
     (Behaviour::Hangs, 6),
     (Behaviour::ServesInPieces, 4),
     (Behaviour::ServesTwice, 2),
     (Behaviour::ServesWithoutLength, 4),
     (Behaviour::TruncatesWithoutLength, 2),
+    (Behaviour::GivesTooShortLength, 2),
+    (Behaviour::NeverEnds, 1),
     (Behaviour::Declines, 3),
     (Behaviour::Fails, 2),
     (Behaviour::Resets, 3),
@@ -151,6 +159,18 @@
             stream.set_zero_linger()?;
             return Ok(false);
         }
+        Behaviour::GivesTooShortLength => {
+            let length = id.len().saturating_sub(1);
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{id}");
+            stream.write_all(response.as_bytes()).await?;
+        }
+        Behaviour::NeverEnds => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await?;
+            loop {
+                stream.write_all(&[b'x'; ENDLESS_PIECE]).await?;
+                sleep(PART_PAUSE).await;
+            }
+        }
         Behaviour::Declines => {
             stream.write_all(b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n").await?;
         }
